Add the design page, shared records, codecs and tooling

Cause: the repository was empty, and five parts are to be written side by side against one set of records. Ruled out: starting with the daemon, because the decision core must run without input or output so that another packet source can drive it. Change: docs/design.md, errors, result codes, caller/backend/peer messages with their codecs, flow tokens, configuration records, core events and actions, lint and test tooling, lock file. Before: nothing. Conclusion: the interfaces are fixed enough for parallel work.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each script prints one JSON line."""
--- /dev/null
+++ b/src/currantshore/codes.py
@@ -0,0 +1,78 @@
+"""Numbered result codes of refusals and the reasons of retries and drops.
+
+The table in ``docs/result-codes.md`` explains each one. A test checks that the
+enumerations, the table and the exported counters agree.
+"""
+
+import enum
+
+
+@enum.unique
+class ResultCode(enum.IntEnum):
+    """What a caller is told about a request or a flow.
+
+    Codes from 100 mean that the request was not run, codes from 200 that the
+    outcome is unknown.
+    """
+
+    OK = 0
+    QUEUE_FULL = 101
+    DEADLINE_TOO_SHORT = 102
+    DEADLINE_PASSED = 103
+    NO_BACKEND_SERVER = 104
+    BACKEND_SERVER_SHED = 105
+    UNKNOWN_PRIORITY_CLASS = 106
+    TOKEN_MISSING = 107
+    TOKEN_INVALID = 108
+    CANCELLED_BEFORE_RUN = 109
+    CALLER_LIMIT = 110
+    BALANCER_LEAVING = 111
+    NOT_READY = 112
+    PAYLOAD_TOO_LARGE = 113
+    OUTCOME_UNKNOWN = 201
+    EXECUTOR_LOST = 202
+    REQUEST_ID_TOO_OLD = 203
+    BACKEND_SERVER_LOST = 204
+    CANCELLED_WHILE_RUNNING = 205
+    ANSWER_TIMEOUT = 206
+    FLOW_SILENT = 207
+
+
+_FIRST_UNKNOWN_OUTCOME = 200
+
+
+def is_not_run(code: ResultCode) -> bool:
+    """Tell whether ``code`` promises that the request was not run."""
+    return ResultCode.OK < code < _FIRST_UNKNOWN_OUTCOME
+
+
+@enum.unique
+class RetryReason(enum.StrEnum):
+    """Why a balancer sent a request or a lookup again."""
+
+    BACKEND_SERVER_SHED = 'backend_server_shed'
+    BACKEND_SERVER_LOST = 'backend_server_lost'
+    LOOKUP_TIMEOUT = 'lookup_timeout'
+    OWNER_WARMING = 'owner_warming'
+    HANDOVER_FAILED = 'handover_failed'
+    PLATFORM_UNAVAILABLE = 'platform_unavailable'
+    CONFIGURATION_FETCH_FAILED = 'configuration_fetch_failed'
+
+
+@enum.unique
+class DropReason(enum.StrEnum):
+    """Why a datagram was dropped without an answer."""
+
+    MALFORMED = 'malformed'
+    UNKNOWN_SERVICE = 'unknown_service'
+    OVERSIZED = 'oversized'
+    PEER_TAG_INVALID = 'peer_tag_invalid'
+    UNKNOWN_BACKEND_SERVER = 'unknown_backend_server'
+    SERVICE_MISMATCH = 'service_mismatch'
+    ANSWER_UNMATCHED = 'answer_unmatched'
+    ANSWER_DUPLICATE = 'answer_duplicate'
+    LOOKUP_QUEUE_FULL = 'lookup_queue_full'
+    NO_BACKEND_SERVER = 'no_backend_server'
+    TOKEN_INVALID = 'token_invalid'
+    NOT_READY = 'not_ready'
+    REPLY_UNMATCHED = 'reply_unmatched'
--- /dev/null
+++ b/src/currantshore/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation modules; nothing outside the package imports them."""
--- /dev/null
+++ b/src/currantshore/internal/events.py
@@ -0,0 +1,149 @@
+"""Inputs and actions of the decision core."""
+
+import dataclasses
+from collections.abc import Mapping
+from typing import TypeAlias
+
+from currantshore.internal.snapshot import PoolSnapshot
+from currantshore.wire import Endpoint
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerDatagram:
+    """A datagram that arrived on the address of a service."""
+
+    service_id: str
+    caller: Endpoint
+    payload: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BackendDatagram:
+    """A datagram that arrived from a backend server."""
+
+    source: Endpoint
+    payload: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerDatagram:
+    """A sealed datagram that arrived from another balancer."""
+
+    payload: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationChanged:
+    """Configuration that was accepted and is newer than the one held."""
+
+    pool: PoolSnapshot
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FlowsHandedOver:
+    """Exceptions that a peer handed to this balancer as an owner.
+
+    ``flows`` maps a backend id to packed 5-byte flow fingerprints.
+    """
+
+    sender: str
+    service_id: str
+    flows: Mapping[str, bytes]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HandoverFinished:
+    """The outcome of a ``HandOverFlows`` action of this balancer."""
+
+    host_id: str
+    service_id: str
+    handover_id: int
+    is_acknowledged: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestsHandedOver:
+    """Request ids that a leaving executor handed to this balancer."""
+
+    sender: str
+    sender_incarnation: int
+    service_id: str
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaveRequested:
+    """The process was asked to stop."""
+
+
+Event: TypeAlias = (
+    CallerDatagram
+    | BackendDatagram
+    | PeerDatagram
+    | ConfigurationChanged
+    | FlowsHandedOver
+    | HandoverFinished
+    | RequestsHandedOver
+    | LeaveRequested
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendToCaller:
+    """Send a datagram to a caller from the address of a service."""
+
+    service_id: str
+    caller: Endpoint
+    payload: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendToBackend:
+    """Send a datagram to a backend server."""
+
+    target: Endpoint
+    payload: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendToPeer:
+    """Send a sealed datagram to a balancer of the pool."""
+
+    host_id: str
+    payload: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HandOverFlows:
+    """Hand exceptions to an owner and report a ``HandoverFinished``."""
+
+    host_id: str
+    service_id: str
+    handover_id: int
+    flows: Mapping[str, bytes]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HandOverRequests:
+    """Hand request ids of this executor to its successor."""
+
+    host_id: str
+    service_id: str
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FetchConfiguration:
+    """Fetch newer configuration objects from a peer."""
+
+    host_id: str
+
+
+Action: TypeAlias = (
+    SendToCaller
+    | SendToBackend
+    | SendToPeer
+    | HandOverFlows
+    | HandOverRequests
+    | FetchConfiguration
+)
--- /dev/null
+++ b/src/currantshore/internal/snapshot.py
@@ -0,0 +1,126 @@
+"""Configuration records as the platform stores them and the core uses them.
+
+Each record is one object of the platform's API: a pool object lists hosts, a
+service object lists backend servers and priority classes. Versions are the
+platform's object versions; they only rise.
+"""
+
+import enum
+from typing import Final
+
+import msgspec
+
+from currantshore.wire import Endpoint
+
+# Keeps a bucket table of 16-bit indexes under 128 KB for the largest service.
+MAX_BUCKET_COUNT: Final = 65536
+
+
+@enum.unique
+class BackendState(enum.StrEnum):
+    """Declared life cycle of a backend server."""
+
+    JOINING = 'joining'
+    ACTIVE = 'active'
+    DRAINING = 'draining'
+    REMOVED = 'removed'
+
+
+@enum.unique
+class HostState(enum.StrEnum):
+    """Declared life cycle of an entry host."""
+
+    JOINING = 'joining'
+    ACTIVE = 'active'
+    LEAVING = 'leaving'
+
+
+class BackendServer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A backend server of one service."""
+
+    backend_id: str
+    zone: str
+    endpoint: Endpoint
+    slot_count: int
+    connection_limit: int = 2000
+    state: BackendState = BackendState.ACTIVE
+
+
+class PriorityClass(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A class of requests; urgency 0 is the most urgent."""
+
+    name: str
+    urgency: int
+    guaranteed_share_ratio: float
+    queue_limit: int = 256
+
+
+class ServiceSnapshot(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One service: its address, backend servers and priority classes."""
+
+    service_id: str
+    user_id: str
+    address: Endpoint
+    bucket_count: int
+    backend_servers: tuple[BackendServer, ...]
+    priority_classes: tuple[PriorityClass, ...]
+    flow_idle_timeout_s: float = 300.0
+    answer_timeout_s: float = 10.0
+    prepare_timeout_s: float = 2.5
+    version: int = 0
+
+    def takes_new_flows(self) -> tuple[BackendServer, ...]:
+        """Return the backend servers declared to take new work."""
+        return tuple(
+            backend
+            for backend in self.backend_servers
+            if backend.state is BackendState.ACTIVE
+        )
+
+
+class PoolHost(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An entry host: where its peers reach it."""
+
+    host_id: str
+    zone: str
+    peer_endpoint: Endpoint
+    rpc_endpoint: Endpoint
+    state: HostState = HostState.ACTIVE
+
+
+class PoolMembers(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The pool object: the hosts that the fabric sprays over."""
+
+    pool_id: str
+    user_id: str
+    zones: tuple[str, ...]
+    hosts: tuple[PoolHost, ...]
+    version: int = 0
+
+
+class PoolSnapshot(msgspec.Struct, frozen=True):
+    """All configuration of one pool that a balancer holds."""
+
+    members: PoolMembers
+    services: tuple[ServiceSnapshot, ...]
+
+    def versions(self) -> dict[str, int]:
+        """Return the version of each object by its object key."""
+        held = {
+            service_key(self.members.pool_id, service.service_id): (
+                service.version
+            )
+            for service in self.services
+        }
+        held[pool_key(self.members.pool_id)] = self.members.version
+        return held
+
+
+def pool_key(pool_id: str) -> str:
+    """Return the platform's object key of a pool."""
+    return f'pools/{pool_id}/members'
+
+
+def service_key(pool_id: str, service_id: str) -> str:
+    """Return the platform's object key of a service."""
+    return f'pools/{pool_id}/services/{service_id}'
--- /dev/null
+++ b/src/currantshore/internal/tokens.py
@@ -0,0 +1,74 @@
+"""Flow tokens: sealed, bound to one flow, checked without shared state."""
+
+import hashlib
+import hmac
+from typing import Final
+
+import msgspec
+
+from currantshore.errors import TokenError
+
+_TAG_SIZE_BYTES: Final = 8
+
+
+class FlowToken(msgspec.Struct, frozen=True, array_like=True):
+    """What a token says about a flow.
+
+    ``executor_id`` and ``executor_incarnation`` name the only process that may
+    run requests of this token; request ids below ``first_request_id`` belong
+    to an earlier token.
+    """
+
+    service_id: str
+    backend_id: str
+    executor_id: str
+    executor_incarnation: int
+    first_request_id: int
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(FlowToken)
+
+
+class TokenSealer:
+    """Seals and opens tokens with the pool's key.
+
+    The tag covers the flow's key, so a token that another caller copied does
+    not open. Sealing and opening each cost one keyed BLAKE2b hash.
+    """
+
+    __slots__ = ('_key',)
+
+    def __init__(self, key: bytes) -> None:
+        """Use ``key`` (1 to 64 bytes), the same on every host of the pool."""
+        self._key = key
+
+    def seal(self, token: FlowToken, flow_key: int) -> bytes:
+        """Return the bytes that the caller echoes."""
+        body = _encoder.encode(token)
+        return self._tag(body, flow_key) + body
+
+    def unseal(self, sealed: bytes, flow_key: int, service: str) -> FlowToken:
+        """Open ``sealed`` for a flow of ``service``; raises ``TokenError``."""
+        body = sealed[_TAG_SIZE_BYTES:]
+        tag = self._tag(body, flow_key)
+        if not hmac.compare_digest(sealed[:_TAG_SIZE_BYTES], tag):
+            raise TokenError('the token is not of this flow or is damaged')
+        try:
+            token = _decoder.decode(body)
+        except (msgspec.DecodeError, ValueError) as error:
+            raise TokenError(str(error)) from error
+        if token.service_id != service:
+            raise TokenError(
+                f'the token is of service {token.service_id!r}, '
+                f'not of {service!r}',
+            )
+        return token
+
+    def _tag(self, body: bytes, flow_key: int) -> bytes:
+        return hashlib.blake2b(
+            body,
+            digest_size=_TAG_SIZE_BYTES,
+            key=self._key,
+            salt=flow_key.to_bytes(8, 'big'),
+        ).digest()
--- /dev/null
+++ b/tests/process/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of currantshore (process)."""
--- /dev/null
+++ b/tooling/__init__.py
@@ -0,0 +1,1 @@
+"""Development scripts."""
