--- a/src/currantshore/codes.py
+++ b/src/currantshore/codes.py
@@ -12,7 +12,9 @@
     """What a caller is told about a request or a flow.
 
     Codes from 100 mean that the request was not run, codes from 200 that the
-    outcome is unknown.
+    outcome is unknown. The token codes are among the latter: a balancer that
+    cannot open a token does not know whether another copy of the request,
+    with its token intact, reached the executor.
     """
 
     OK = 0
@@ -22,13 +24,10 @@
     NO_BACKEND_SERVER = 104
     BACKEND_SERVER_SHED = 105
     UNKNOWN_PRIORITY_CLASS = 106
-    TOKEN_MISSING = 107
-    TOKEN_INVALID = 108
-    CANCELLED_BEFORE_RUN = 109
-    CALLER_LIMIT = 110
-    BALANCER_LEAVING = 111
-    NOT_READY = 112
-    PAYLOAD_TOO_LARGE = 113
+    CANCELLED_BEFORE_RUN = 107
+    CALLER_LIMIT = 108
+    BALANCER_LEAVING = 109
+    PAYLOAD_TOO_LARGE = 110
     OUTCOME_UNKNOWN = 201
     EXECUTOR_LOST = 202
     REQUEST_ID_TOO_OLD = 203
@@ -36,6 +35,8 @@
     CANCELLED_WHILE_RUNNING = 205
     ANSWER_TIMEOUT = 206
     FLOW_SILENT = 207
+    TOKEN_MISSING = 208
+    TOKEN_INVALID = 209
 
 
 _FIRST_UNKNOWN_OUTCOME = 200
--- /dev/null
+++ b/tests/cover/test_codes.py
@@ -0,0 +1,43 @@
+"""Result codes, reasons, their table in the docs, and their counters."""
+
+import pathlib
+import re
+
+import testtools
+
+from currantshore.codes import DropReason, ResultCode, RetryReason, is_not_run
+
+_TABLE = pathlib.Path(__file__).parents[2] / 'docs' / 'result-codes.md'
+
+
+class ResultCodeTests(testtools.TestCase):
+    """Guards against a code that operators cannot look up."""
+
+    def setUp(self):
+        super().setUp()
+        self.page = _TABLE.read_text()
+
+    def test_every_code_has_a_row_with_its_number_and_no_other(self):
+        rows = re.findall(r'^\| (\d+) \| (\w+) \|', self.page, re.MULTILINE)
+        listed = {(int(number), name) for number, name in rows}
+        self.assertEqual(
+            {(code.value, code.name) for code in ResultCode}, listed
+        )
+
+    def test_every_reason_has_a_row_and_no_other(self):
+        rows = re.findall(r'^\| `(\w+)` \|', self.page, re.MULTILINE)
+        reasons = [*RetryReason, *DropReason]
+        self.assertEqual(
+            sorted(str(reason) for reason in reasons), sorted(rows)
+        )
+
+    def test_only_codes_of_the_first_hundred_promise_not_run(self):
+        promised = {code for code in ResultCode if is_not_run(code)}
+        self.assertEqual(
+            {code for code in ResultCode if 100 < code < 200}, promised
+        )
+
+    def test_a_bad_token_does_not_promise_that_nothing_ran(self):
+        # Another copy of the same request may have reached the executor.
+        self.assertFalse(is_not_run(ResultCode.TOKEN_INVALID))
+        self.assertFalse(is_not_run(ResultCode.TOKEN_MISSING))
