--- /dev/null
+++ b/src/currantshore/internal/flowtable.py
@@ -0,0 +1,85 @@
+"""Known flows of one service, in two generations.
+
+Expiry needs no scan: the current generation becomes the previous one every
+idle timeout, and the previous one is dropped. A flow that is seen moves to the
+current generation, so it stays for one to two idle timeouts after its last
+packet.
+"""
+
+from collections import Counter
+from collections.abc import Iterator
+
+# An entry holds the slot of the flow's backend server and, in the lowest bit,
+# whether the flow is framed. Small integers need no memory of their own.
+
+
+def entry_of(slot: int, is_framed: bool) -> int:
+    """Pack the slot of a flow and its kind into one small integer."""
+    return slot << 1 | is_framed
+
+
+def slot_of(entry: int) -> int:
+    """Return the slot of an entry."""
+    return entry >> 1
+
+
+def is_framed(entry: int) -> bool:
+    """Tell whether the caller of the flow speaks framed datagrams."""
+    return bool(entry & 1)
+
+
+class FlowTable:
+    """Maps 64-bit flow keys to entries and counts the flows of each slot."""
+
+    __slots__ = ('_idle_timeout_s', '_rotate_at_s', 'counts', 'current', 'old')
+
+    def __init__(self, idle_timeout_s: float, now_s: float) -> None:
+        """Keep flows for at least ``idle_timeout_s`` after a packet."""
+        self.current: dict[int, int] = {}
+        self.old: dict[int, int] = {}
+        self.counts: Counter[int] = Counter()
+        self._idle_timeout_s = idle_timeout_s
+        self._rotate_at_s = now_s + idle_timeout_s
+
+    def __len__(self) -> int:
+        """Return the number of known flows."""
+        return len(self.current) + len(self.old)
+
+    def find(self, flow_key: int) -> int | None:
+        """Return the entry of a flow and mark it as seen."""
+        entry = self.current.get(flow_key)
+        if entry is None:
+            entry = self.old.pop(flow_key, None)
+            if entry is not None:
+                self.current[flow_key] = entry
+        return entry
+
+    def put(self, flow_key: int, entry: int) -> None:
+        """Remember a flow or change its entry."""
+        self.forget(flow_key)
+        self.current[flow_key] = entry
+        self.counts[slot_of(entry)] += 1
+
+    def forget(self, flow_key: int) -> None:
+        """Drop a flow if it is known."""
+        entry = self.current.pop(flow_key, None)
+        if entry is None:
+            entry = self.old.pop(flow_key, None)
+        if entry is not None:
+            self.counts[slot_of(entry)] -= 1
+
+    def rotate_if_due(self, now_s: float) -> bool:
+        """Start a new generation when the current one is old enough."""
+        if now_s < self._rotate_at_s:
+            return False
+        for entry, amount in Counter(self.old.values()).items():
+            self.counts[slot_of(entry)] -= amount
+        self.old = self.current
+        self.current = {}
+        self._rotate_at_s = now_s + self._idle_timeout_s
+        return True
+
+    def entries(self) -> Iterator[tuple[int, int]]:
+        """Yield (flow key, entry) of every known flow."""
+        yield from self.old.items()
+        yield from self.current.items()
