--- /dev/null
+++ b/src/currantshore/internal/answercache.py
@@ -0,0 +1,98 @@
+"""Final outcomes that an executor keeps to repeat them for re-sent requests."""
+
+import dataclasses
+from collections import OrderedDict
+from typing import Final
+
+from currantshore import wire
+from currantshore.codes import ResultCode
+from currantshore.internal.events import SendToCaller
+
+MAX_CACHE_SIZE_BYTES: Final = 4 * 1024 * 1024
+
+# The cost of an entry besides its payload, so that empty answers count too.
+_ENTRY_SIZE_BYTES: Final = 400
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """How a request ended: a whole answer, or a refusal with a code."""
+
+    service_id: str
+    caller: wire.Endpoint
+    request_id: int
+    code: ResultCode
+    retry_after_ms: int = 0
+    run_id: int = 0
+    parts: tuple[bytes, ...] = ()
+
+    def size_bytes(self) -> int:
+        """Return the approximate memory that the outcome takes."""
+        return _ENTRY_SIZE_BYTES + sum(len(part) for part in self.parts)
+
+    def to_actions(self, attempt: int) -> list[SendToCaller]:
+        """Return the datagrams that tell the caller, for its ``attempt``."""
+        if self.code is not ResultCode.OK:
+            return [self._send(self._refusal())]
+        return [
+            self._send(self._answer(attempt, index))
+            for index in range(len(self.parts))
+        ]
+
+    def _refusal(self) -> wire.Refusal:
+        return wire.Refusal(self.request_id, self.code, self.retry_after_ms)
+
+    def _answer(self, attempt: int, index: int) -> wire.Answer:
+        return wire.Answer(
+            self.request_id,
+            attempt,
+            index,
+            len(self.parts),
+            self.parts[index],
+            self.run_id,
+        )
+
+    def _send(self, message: wire.Message) -> SendToCaller:
+        return SendToCaller(
+            self.service_id,
+            self.caller,
+            wire.encode(message),
+        )
+
+
+class AnswerCache:
+    """The most recent outcomes, bounded in bytes; the oldest go first."""
+
+    __slots__ = ('_held', '_limit_bytes', '_size_bytes')
+
+    def __init__(self, limit_bytes: int = MAX_CACHE_SIZE_BYTES) -> None:
+        """Hold outcomes of at most ``limit_bytes`` together."""
+        self._limit_bytes = limit_bytes
+        self._size_bytes = 0
+        self._held: OrderedDict[tuple[int, int], Outcome] = OrderedDict()
+
+    def put(self, flow_key: int, outcome: Outcome) -> None:
+        """Keep the first outcome of a request, never a second one."""
+        key = (flow_key, outcome.request_id)
+        if key in self._held or outcome.size_bytes() > self._limit_bytes:
+            return
+        self._held[key] = outcome
+        self._size_bytes += outcome.size_bytes()
+        while self._size_bytes > self._limit_bytes:
+            _, oldest = self._held.popitem(last=False)
+            self._size_bytes -= oldest.size_bytes()
+
+    def get(
+        self,
+        flow_key: int,
+        request_id: int,
+        caller: wire.Endpoint,
+    ) -> Outcome | None:
+        """Return the outcome if it is still held and is this caller's.
+
+        The caller is compared because two flows may share a 64-bit key.
+        """
+        held = self._held.get((flow_key, request_id))
+        if held is None or held.caller != caller:
+            return None
+        return held
--- a/src/currantshore/internal/peerwire.py
+++ b/src/currantshore/internal/peerwire.py
@@ -54,12 +54,17 @@
 
 
 class RelayedRequest(Message, frozen=True, array_like=True, tag='relay'):
-    """A framed ``Request`` on its way to its executor."""
+    """A framed ``Request`` or ``Cancel`` on its way to its executor.
+
+    ``hops_left`` bounds the relays that follow, so that balancers with
+    different views of the successor cannot pass a request in a circle.
+    """
 
     sender: str
     service_id: str
     caller: Endpoint
     datagram: bytes
+    hops_left: int = 2
 
 
 class RelayedReply(Message, frozen=True, array_like=True, tag='relayreply'):
--- /dev/null
+++ b/src/currantshore/internal/requestlog.py
@@ -0,0 +1,84 @@
+"""Request ids that an executor has seen, bounded for each flow."""
+
+import enum
+from collections.abc import Mapping
+from typing import Final
+
+from currantshore.codes import ResultCode
+
+# A caller with more requests than this between two re-sends of one request
+# learns "too old" for it; the bound keeps a flow below about 100 KB.
+MAX_IDS_ABOVE_FLOOR: Final = 1024
+
+
+@enum.unique
+class IdState(enum.Enum):
+    """What a log knows about a request id."""
+
+    FRESH = enum.auto()
+    SEEN = enum.auto()
+    TOO_OLD = enum.auto()
+
+
+class RequestLog:
+    """The ids of one flow: a floor and at most 1,024 ids above it.
+
+    Each id above the floor has the result code of its outcome.
+    ``OUTCOME_UNKNOWN`` stands for an id whose request is in progress or whose
+    outcome was not a refusal before the run.
+    """
+
+    __slots__ = ('_codes', '_floor', 'touched_s')
+
+    def __init__(
+        self,
+        floor: int = 0,
+        codes: Mapping[int, ResultCode] | None = None,
+    ) -> None:
+        """Start with every id below ``floor`` counted as used."""
+        self._floor = floor
+        self._codes = dict(codes or {})
+        self.touched_s = 0.0
+
+    @property
+    def floor(self) -> int:
+        """Ids below it count as used."""
+        return self._floor
+
+    @property
+    def codes(self) -> Mapping[int, ResultCode]:
+        """The ids above the floor with the code of each outcome."""
+        return self._codes
+
+    def state(self, request_id: int) -> IdState:
+        """Tell whether ``request_id`` may run."""
+        if request_id in self._codes:
+            return IdState.SEEN
+        if request_id < self._floor:
+            return IdState.TOO_OLD
+        return IdState.FRESH
+
+    def code(self, request_id: int) -> ResultCode:
+        """Return the code of a seen id."""
+        return self._codes.get(request_id, ResultCode.OUTCOME_UNKNOWN)
+
+    def note(
+        self,
+        request_id: int,
+        code: ResultCode = ResultCode.OUTCOME_UNKNOWN,
+    ) -> None:
+        """Record that ``request_id`` is used and what became of it."""
+        if request_id < self._floor and request_id not in self._codes:
+            return
+        self._codes[request_id] = code
+        while len(self._codes) > MAX_IDS_ABOVE_FLOOR:
+            lowest = min(self._codes)
+            self._codes.pop(lowest)
+            self._floor = lowest + 1
+
+    def merge(self, floor: int, codes: Mapping[int, ResultCode]) -> None:
+        """Add the ids of another executor's log of the same flow."""
+        self._floor = max(self._floor, floor)
+        for request_id, code in codes.items():
+            if request_id not in self._codes:
+                self.note(request_id, code)
--- /dev/null
+++ b/src/currantshore/internal/requestroutes.py
@@ -0,0 +1,108 @@
+"""Which balancer may run the requests of a token."""
+
+import dataclasses
+from collections import OrderedDict
+from typing import Final, TypeAlias
+
+from currantshore.internal.tokens import FlowToken
+from currantshore.internal.views import LiveView
+
+# A pool has at most 64 hosts; this covers 16 restarts of each of them.
+MAX_SUCCESSORS: Final = 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunHere:
+    """This process is the executor, or has taken over its request ids."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayTo:
+    """Another live host is the executor or its successor."""
+
+    host_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExecutorLost:
+    """The request ids of the executor are lost."""
+
+
+Route: TypeAlias = RunHere | RelayTo | ExecutorLost
+
+_Process: TypeAlias = tuple[str, int]
+
+
+class ExecutorRoutes:
+    """Finds the executor of a token among live hosts and successors.
+
+    A live host is asked even when the token names another incarnation of it,
+    because only the host itself knows its incarnation for certain; this
+    balancer's view of a restart may lag.
+    """
+
+    __slots__ = ('_adopted', '_self', '_successors', '_view')
+
+    def __init__(self, host_id: str, incarnation: int) -> None:
+        """Start alone, as the process (``host_id``, ``incarnation``)."""
+        self._self = (host_id, incarnation)
+        self._view: LiveView | None = None
+        self._successors: OrderedDict[_Process, str] = OrderedDict()
+        self._adopted: set[tuple[str, _Process]] = set()
+
+    @property
+    def view(self) -> LiveView | None:
+        """The live balancers, once known."""
+        return self._view
+
+    def on_live_view(self, view: LiveView) -> None:
+        """Use the new view and remember the successors it announces."""
+        self._view = view
+        for peer in view.peers.values():
+            if peer.successor:
+                self._remember((peer.host_id, peer.incarnation), peer.successor)
+
+    def adopt(self, service_id: str, process: _Process) -> None:
+        """Note that this process holds all request ids of ``process``."""
+        self._adopted.add((service_id, process))
+
+    def adopted(self, service_id: str) -> list[_Process]:
+        """Return the processes whose ids of a service are held here."""
+        return sorted(
+            process for held, process in self._adopted if held == service_id
+        )
+
+    def is_live(self, host_id: str) -> bool:
+        """Tell whether ``host_id`` is in the live view."""
+        return self._view is not None and host_id in self._view.peers
+
+    def route(self, token: FlowToken) -> Route:
+        """Tell where the requests of ``token`` run."""
+        process = (token.executor_id, token.executor_incarnation)
+        if process == self._self:
+            return RunHere()
+        if (token.service_id, process) in self._adopted:
+            return RunHere()
+        successor = self._successors.get(process)
+        if successor is not None and not self._serves_itself(process):
+            return self._to_host(successor)
+        return self._to_host(token.executor_id)
+
+    def _serves_itself(self, process: _Process) -> bool:
+        # A process that has named a successor still knows the requests that
+        # it ran before, so it is asked for as long as it lives.
+        if self._view is None:
+            return False
+        peer = self._view.peers.get(process[0])
+        return peer is not None and peer.incarnation == process[1]
+
+    def _to_host(self, host_id: str) -> Route:
+        if host_id != self._self[0] and self.is_live(host_id):
+            return RelayTo(host_id)
+        return ExecutorLost()
+
+    def _remember(self, process: _Process, successor: str) -> None:
+        self._successors[process] = successor
+        self._successors.move_to_end(process)
+        while len(self._successors) > MAX_SUCCESSORS:
+            self._successors.popitem(last=False)
--- a/src/currantshore/wire.py
+++ b/src/currantshore/wire.py
@@ -83,13 +83,19 @@
 
 
 class Answer(Message, frozen=True, array_like=True, tag='answer'):
-    """One part of the answer to a request; ``part`` counts from 0."""
+    """One part of the answer to a request; ``part`` counts from 0.
+
+    ``run_id`` is the same in all parts of one run; a caller puts only parts
+    with the same ``run_id`` together, because a repeatable request may run on
+    two balancers.
+    """
 
     request_id: int
     attempt: int
     part: int
     parts: int
     payload: bytes
+    run_id: int = 0
 
 
 class Refusal(Message, frozen=True, array_like=True, tag='refusal'):
