--- /dev/null
+++ b/src/currantshore/internal/fetching.py
@@ -0,0 +1,105 @@
+"""Decides when, and from which peer, newer configuration is fetched.
+
+A digest tells only that a peer holds other versions, not whether they are
+newer. Digests that this node held before are older for certain. Others are
+fetched after a random delay, one at a time, with backoff per digest, so that a
+healed partition or a restarted pool causes no storm.
+"""
+
+import random
+from collections import OrderedDict
+from typing import Final
+
+from currantshore.internal.configuration import NO_CONFIGURATION
+
+# Spreads the first fetches of a pool after a change.
+_MAX_DELAY_S: Final = 0.4
+# A fetch takes one round trip and a few KB; longer means that it failed.
+_ANSWER_TIMEOUT_S: Final = 1.0
+# Keeps the time to agree after a heal to a few seconds.
+_MAX_BACKOFF_S: Final = 4.0
+# More distinct digests than a pool of 64 hosts shows during a busy roll-out.
+_MAX_DIGESTS: Final = 64
+_MAX_SOURCES: Final = 8
+
+
+class _Offer:
+    """A digest that peers hold and this node does not."""
+
+    __slots__ = ('attempts', 'not_before_s', 'sources')
+
+    def __init__(self, not_before_s: float) -> None:
+        self.attempts = 0
+        self.not_before_s = not_before_s
+        self.sources: list[str] = []
+
+
+class ConfigurationFetcher:
+    """Chooses the peer to fetch from; the caller does the fetch."""
+
+    __slots__ = ('_held', '_offers', '_past', '_rng', '_wait')
+
+    def __init__(self, rng: random.Random) -> None:
+        """Start without configuration."""
+        self._rng = rng
+        self._held = NO_CONFIGURATION
+        self._past: OrderedDict[int, None] = OrderedDict()
+        self._offers: OrderedDict[int, _Offer] = OrderedDict()
+        self._wait = float('-inf')
+
+    def hold(self, digest: int, now_s: float) -> None:
+        """Note that this node now holds ``digest``."""
+        if digest == self._held:
+            return
+        self._past[self._held] = None
+        self._past.pop(digest, None)
+        if len(self._past) > _MAX_DIGESTS:
+            self._past.popitem(last=False)
+        self._held = digest
+        self._offers.pop(digest, None)
+        self._wait = now_s
+
+    def offer(self, host_id: str, digest: int, now_s: float) -> None:
+        """Note that ``host_id`` holds ``digest``."""
+        if digest in {self._held, NO_CONFIGURATION} or digest in self._past:
+            return
+        offer = self._offers.get(digest)
+        if offer is None:
+            delay_s = self._rng.uniform(0, _MAX_DELAY_S)
+            offer = _Offer(now_s + delay_s)
+            self._offers[digest] = offer
+            if len(self._offers) > _MAX_DIGESTS:
+                self._offers.popitem(last=False)
+        if host_id in offer.sources:
+            return
+        offer.sources.append(host_id)
+        if len(offer.sources) > _MAX_SOURCES:
+            offer.sources.pop(0)
+
+    def withdraw(self, host_id: str, digest: int) -> None:
+        """Forget that ``host_id`` holds any digest but ``digest``."""
+        for offered, offer in self._offers.items():
+            if offered != digest and host_id in offer.sources:
+                offer.sources.remove(host_id)
+
+    def next_source(self, now_s: float) -> tuple[str, bool] | None:
+        """Return the host to fetch from now and whether it is a retry."""
+        if now_s < self._wait:
+            return None
+        due = [
+            offer
+            for offer in self._offers.values()
+            if offer.not_before_s <= now_s and offer.sources
+        ]
+        if not due:
+            return None
+        chosen = min(due, key=lambda offer: offer.attempts)
+        self._wait = now_s + _ANSWER_TIMEOUT_S
+        is_retry = chosen.attempts > 0
+        chosen.attempts += 1
+        chosen.not_before_s = now_s + self._backoff_s(chosen.attempts)
+        return self._rng.choice(chosen.sources), is_retry
+
+    def _backoff_s(self, attempts: int) -> float:
+        ceiling_s = min(_MAX_BACKOFF_S, _ANSWER_TIMEOUT_S * 2**attempts)
+        return self._rng.uniform(ceiling_s / 2, ceiling_s)
--- /dev/null
+++ b/src/currantshore/internal/health.py
@@ -0,0 +1,439 @@
+"""Health of backend servers as one balancer of the pool sees it.
+
+Outcomes of real work count first and probes second; the reported load of a
+backend server never decides, because load endpoints lag and mislead.
+"""
+
+import random
+from collections.abc import Mapping
+from typing import Final
+
+import msgspec
+
+from currantshore import wire
+from currantshore.codes import DropReason, ResultCode
+from currantshore.internal import peerwire, probing
+from currantshore.internal.counters import Count, Counters
+from currantshore.internal.events import (
+    Action,
+    SendToBackend,
+    SendToCaller,
+    SendToPeer,
+)
+from currantshore.internal.silence import SilenceTracker, SilentFlow
+from currantshore.internal.snapshot import (
+    BackendServer,
+    BackendState,
+    PoolSnapshot,
+)
+from currantshore.internal.suspicion import SelfSuspicion
+from currantshore.internal.verdicts import Verdict
+from currantshore.internal.views import LiveView
+from currantshore.internal.votes import QUORUM, Votes
+
+_REPORT_FANOUT: Final = 4
+_MAX_FULL_MESH_PEERS: Final = 7
+# Lost reports are made good by the repetition; it stays under 20 bytes a
+# second for each backend server that is down.
+_REPEAT_INTERVAL_S: Final = 5.0
+_EXPIRY_INTERVAL_S: Final = 1.0
+# Own traffic that works outweighs what peers say for this long.
+_OWN_SUCCESS_S: Final = 2.0
+# Two failures of one service within this time raise its probe rate.
+_CLOSE_TOGETHER_S: Final = 2.0
+_RETRY_SILENT_FLOW_MS: Final = 100
+
+
+class HealthPlane:
+    """Verdicts, probes, shared reports and silent flows."""
+
+    __slots__ = (
+        '_backends',
+        '_by_endpoint',
+        '_counters',
+        '_expire_s',
+        '_failing',
+        '_host_id',
+        '_last_failure',
+        '_peer_key',
+        '_pool',
+        '_probe_id',
+        '_repeat_s',
+        '_reported',
+        '_returning',
+        '_rng',
+        '_schedule',
+        '_sequence',
+        '_services',
+        '_silence',
+        '_suspicion',
+        '_unusable',
+        '_verdicts',
+        '_view',
+        '_votes',
+        '_weights',
+    )
+
+    def __init__(
+        self,
+        host_id: str,
+        counters: Counters,
+        peer_key: bytes,
+        rng: random.Random,
+    ) -> None:
+        """Use ``from_config``."""
+        self._host_id = host_id
+        self._counters = counters
+        self._peer_key = peer_key
+        self._rng = rng
+        self._view: LiveView | None = None
+        self._pool: PoolSnapshot | None = None
+        self._backends: dict[str, BackendServer] = {}
+        self._services: dict[str, str] = {}
+        self._by_endpoint: dict[wire.Endpoint, str] = {}
+        self._verdicts: dict[str, Verdict] = {}
+        self._failing: set[str] = set()
+        self._returning: set[str] = set()
+        self._unusable: frozenset[str] = frozenset()
+        self._weights: dict[str, float] = {}
+        self._reported: dict[str, bool] = {}
+        self._last_failure: dict[str, tuple[float, str]] = {}
+        self._schedule = probing.ProbeSchedule()
+        self._silence = SilenceTracker()
+        self._suspicion = SelfSuspicion()
+        self._votes = Votes()
+        self._probe_id = 0
+        self._sequence = 0
+        self._repeat_s = 0.0
+        self._expire_s = 0.0
+
+    @classmethod
+    def from_config(
+        cls,
+        host_id: str,
+        counters: Counters,
+        peer_key: bytes,
+        rng: random.Random,
+    ) -> 'HealthPlane':
+        """Build the plane of balancer ``host_id``."""
+        return cls(host_id, counters, peer_key, rng)
+
+    @property
+    def silent_flows(self) -> Mapping[str, int]:
+        """Return the number of silent flows found, by backend id."""
+        return self._silence.silent_flows
+
+    def is_usable(self, backend_id: str) -> bool:
+        """Tell whether packets may be sent; unknown ids are usable."""
+        return backend_id not in self._unusable
+
+    def weight_ratio(self, backend_id: str) -> float:
+        """Return 1.0, or less during a slow start."""
+        return self._weights.get(backend_id, 1.0)
+
+    def configure(self, pool: PoolSnapshot, now_s: float) -> list[Action]:
+        """Follow the backend servers of ``pool``."""
+        before = self._backends
+        is_first = self._pool is None
+        self._pool = pool
+        self._index(pool)
+        for backend_id, backend in self._backends.items():
+            verdict = self._verdicts.setdefault(backend_id, Verdict())
+            if not is_first and _is_cold(before.get(backend_id), backend):
+                verdict.start_slowly(now_s)
+                self._returning.add(backend_id)
+        for backend_id in set(self._verdicts) - set(self._backends):
+            self._verdicts.pop(backend_id)
+            self._failing.discard(backend_id)
+            self._returning.discard(backend_id)
+            self._reported.pop(backend_id, None)
+        self._votes.expire(self._peers(), self._backends, now_s)
+        self._silence.forget_backends(frozenset(self._backends))
+        self._assign(now_s)
+        self._refresh(now_s)
+        return []
+
+    def on_live_view(self, view: LiveView, now_s: float) -> list[Action]:
+        """Share the probes anew among the live balancers."""
+        self._view = view
+        self._assign(now_s)
+        return []
+
+    def record_success(self, backend_id: str, now_s: float) -> None:
+        """Note an answer or a downstream packet."""
+        verdict = self._verdicts.get(backend_id)
+        if verdict is not None:
+            verdict.succeed(now_s, is_passive=True)
+            if backend_id in self._failing:
+                self._after_outcome(backend_id, verdict, now_s)
+
+    def record_failure(self, backend_id: str, now_s: float) -> None:
+        """Note a request that timed out."""
+        self._fail(backend_id, now_s, is_passive=True)
+
+    def note_upstream(
+        self,
+        service_id: str,
+        flow_key: int,
+        backend_id: str,
+        now_s: float,
+        framed_caller: wire.Endpoint | None = None,
+    ) -> list[Action]:
+        """Note a packet of a flow on its way to its backend server.
+
+        ``framed_caller`` is the caller of a framed flow, which can be told
+        that the flow is silent; None for an opaque flow.
+        """
+        silent = self._silence.note_order(
+            (service_id, flow_key),
+            backend_id,
+            now_s,
+            framed_caller,
+        )
+        return [] if silent is None else self._report_silent(silent)
+
+    def note_downstream(
+        self,
+        service_id: str,
+        flow_key: int,
+        backend_id: str,
+        now_s: float,
+    ) -> list[Action]:
+        """Note a packet of a flow that came from its backend server."""
+        self._silence.note_answer((service_id, flow_key), backend_id, now_s)
+        self.record_success(backend_id, now_s)
+        return []
+
+    def on_probe_reply(
+        self,
+        source: wire.Endpoint,
+        reply: wire.ProbeReply,
+        now_s: float,
+    ) -> list[Action]:
+        """Note a sign of life; the reported load and state do not count."""
+        backend_id = self._schedule.answer(reply.probe_id)
+        if backend_id is None or self._by_endpoint.get(source) != backend_id:
+            self._counters.drop(DropReason.REPLY_UNMATCHED)
+            return []
+        verdict = self._verdicts[backend_id]
+        verdict.succeed(now_s, is_passive=False)
+        self._after_outcome(backend_id, verdict, now_s)
+        return []
+
+    def on_health_report(
+        self,
+        report: peerwire.HealthReport,
+        now_s: float,
+    ) -> list[Action]:
+        """Take a peer's verdicts and pass on what is new."""
+        if report.sender == self._host_id:
+            return []
+        known = {
+            backend_id: report.verdicts[backend_id]
+            for backend_id in self._backends.keys() & report.verdicts.keys()
+        }
+        report = msgspec.structs.replace(report, verdicts=known)
+        if not self._votes.take(report, now_s):
+            return []
+        self._refresh(now_s)
+        if len(self._peers()) <= _MAX_FULL_MESH_PEERS:
+            return []
+        return self._send_report(report)
+
+    def tick(self, now_s: float) -> list[Action]:
+        """Send due probes and reports; judge expired probes."""
+        for backend_id in self._schedule.take_expired(now_s):
+            self._fail(backend_id, now_s, is_passive=False)
+        self._silence.tick(now_s)
+        if now_s >= self._expire_s:
+            self._expire_s = now_s + _EXPIRY_INTERVAL_S
+            self._votes.expire(self._peers(), self._backends, now_s)
+        self._suspect(now_s)
+        self._refresh(now_s)
+        actions = self._probe(now_s)
+        actions.extend(self._report(now_s))
+        return actions
+
+    def _index(self, pool: PoolSnapshot) -> None:
+        self._backends = {}
+        self._services = {}
+        for service in pool.services:
+            for backend in service.backend_servers:
+                if backend.state is not BackendState.REMOVED:
+                    self._backends[backend.backend_id] = backend
+                    self._services[backend.backend_id] = service.service_id
+        self._by_endpoint = {
+            known.endpoint: known.backend_id
+            for known in self._backends.values()
+        }
+
+    def _assign(self, now_s: float) -> None:
+        """Probe the own share, and what this balancer found down itself.
+
+        Nobody else would notice the return of a backend server that only
+        this balancer has given up.
+        """
+        view = self._view
+        if view is None:
+            return
+        own: dict[str, str] = {}
+        for backend_id, backend in self._backends.items():
+            is_down = self._verdicts[backend_id].is_down
+            if is_down or self._host_id in probing.probers(backend, view):
+                own[backend_id] = self._services[backend_id]
+        self._schedule.assign(own, now_s)
+
+    def _fail(self, backend_id: str, now_s: float, *, is_passive: bool) -> None:
+        verdict = self._verdicts.get(backend_id)
+        if verdict is None:
+            return
+        verdict.fail(now_s, is_passive=is_passive)
+        service_id = self._services[backend_id]
+        previous = self._last_failure.get(service_id)
+        self._last_failure[service_id] = (now_s, backend_id)
+        if previous is not None and now_s - previous[0] <= _CLOSE_TOGETHER_S:
+            self._schedule.raise_rate(service_id, now_s)
+        self._after_outcome(backend_id, verdict, now_s)
+
+    def _after_outcome(
+        self,
+        backend_id: str,
+        verdict: Verdict,
+        now_s: float,
+    ) -> None:
+        if verdict.is_returning:
+            self._returning.add(backend_id)
+        if verdict.is_failing:
+            self._failing.add(backend_id)
+        elif not verdict.is_down:
+            self._failing.discard(backend_id)
+        if verdict.is_down and not self._schedule.is_assigned(backend_id):
+            self._assign(now_s)
+
+    def _suspect(self, now_s: float) -> None:
+        if not self._failing and not self._suspicion.is_active:
+            return
+        if self._suspicion.judge(self._verdicts.values(), now_s):
+            self._counters.count(Count.SELF_SUSPICIONS)
+
+    def _refresh(self, now_s: float) -> None:
+        """Recompute what ``is_usable`` and ``weight_ratio`` return."""
+        self._unusable = frozenset(
+            backend_id
+            for backend_id in self._failing | self._votes.suspected()
+            if self._is_unusable(backend_id, now_s)
+        )
+        self._weights = {
+            backend_id: self._verdicts[backend_id].weight_ratio(now_s)
+            for backend_id in self._returning
+        }
+        self._returning = {
+            backend_id
+            for backend_id in self._returning
+            if self._verdicts[backend_id].is_returning
+        }
+
+    def _is_unusable(self, backend_id: str, now_s: float) -> bool:
+        verdict = self._verdicts[backend_id]
+        votes = self._votes.count_down(backend_id)
+        if verdict.is_down and not self._suspicion.is_active:
+            return True
+        if now_s - verdict.last_success_s < _OWN_SUCCESS_S:
+            return False
+        return votes >= QUORUM or (votes > 0 and verdict.is_failing)
+
+    def _report_silent(self, silent: SilentFlow) -> list[Action]:
+        self._counters.count(Count.FLOWS_SILENT)
+        if silent.caller is None:
+            return []
+        self._counters.refuse(ResultCode.FLOW_SILENT)
+        refusal = wire.Refusal(
+            request_id=0,
+            code=ResultCode.FLOW_SILENT,
+            retry_after_ms=_RETRY_SILENT_FLOW_MS,
+        )
+        return [
+            SendToCaller(
+                silent.service_id,
+                silent.caller,
+                wire.encode(refusal),
+            ),
+        ]
+
+    def _probe(self, now_s: float) -> list[Action]:
+        actions: list[Action] = []
+        for backend_id in self._schedule.take_due(now_s):
+            self._probe_id += 1
+            self._schedule.wait_for(self._probe_id, backend_id, now_s)
+            payload = wire.encode(wire.Probe(self._probe_id))
+            self._counters.count(Count.CONTROL_SENT_BYTES, len(payload))
+            target = self._backends[backend_id].endpoint
+            actions.append(SendToBackend(target, payload))
+        return actions
+
+    def _report(self, now_s: float) -> list[Action]:
+        if self._suspicion.is_active:
+            return []
+        changed = self._changed_verdicts()
+        if now_s >= self._repeat_s:
+            self._repeat_s = now_s + _REPEAT_INTERVAL_S
+            changed.extend(
+                backend_id
+                for backend_id, is_usable in self._reported.items()
+                if not is_usable
+            )
+        by_service: dict[str, dict[str, bool]] = {}
+        for backend_id in changed:
+            verdicts = by_service.setdefault(self._services[backend_id], {})
+            verdicts[backend_id] = self._reported[backend_id]
+        actions: list[Action] = []
+        for service_id, verdicts in by_service.items():
+            actions.extend(self._send_report(self._new(service_id, verdicts)))
+        return actions
+
+    def _changed_verdicts(self) -> list[str]:
+        changed: list[str] = []
+        for backend_id in self._failing | set(self._reported):
+            is_usable = not self._verdicts[backend_id].is_down
+            if is_usable != self._reported.get(backend_id, True):
+                self._reported[backend_id] = is_usable
+                changed.append(backend_id)
+        return changed
+
+    def _new(
+        self,
+        service_id: str,
+        verdicts: dict[str, bool],
+    ) -> peerwire.HealthReport:
+        self._sequence += 1
+        own = self._view.peers.get(self._host_id) if self._view else None
+        return peerwire.HealthReport(
+            sender=self._host_id,
+            service_id=service_id,
+            verdicts=verdicts,
+            incarnation=own.incarnation if own else 0,
+            sequence=self._sequence,
+        )
+
+    def _send_report(self, report: peerwire.HealthReport) -> list[Action]:
+        payload = peerwire.seal(report, self._peer_key)
+        peers = sorted(self._peers())
+        if len(peers) > _MAX_FULL_MESH_PEERS:
+            peers = self._rng.sample(peers, _REPORT_FANOUT)
+        self._counters.count(
+            Count.CONTROL_SENT_BYTES,
+            len(payload) * len(peers),
+        )
+        return [SendToPeer(host_id, payload) for host_id in peers]
+
+    def _peers(self) -> set[str]:
+        if self._view is None:
+            return set()
+        return set(self._view.peers) - {self._host_id}
+
+
+def _is_cold(before: BackendServer | None, after: BackendServer) -> bool:
+    """Tell whether a backend server has just begun to take new flows."""
+    if after.state is not BackendState.ACTIVE:
+        return False
+    return before is None or before.state is BackendState.JOINING
--- a/src/currantshore/internal/peerwire.py
+++ b/src/currantshore/internal/peerwire.py
@@ -22,7 +22,8 @@
     ``counters`` maps the 32-bit hash of a host id to the highest
     (incarnation, counter) known of it. ``configuration_digest`` is a hash of
     the versions held; ``prepared_digest`` is the digest up to which the sender
-    prepared every change and had its handovers acknowledged.
+    prepared every change and had its handovers acknowledged. ``members`` holds
+    packed records of live hosts (see ``internal/roster``).
     """
 
     sender: str
@@ -34,6 +35,7 @@
     prepared_digest: int
     demands: dict[str, int]
     successor: str = ''
+    members: bytes = b''
 
 
 class Lookup(Message, frozen=True, array_like=True, tag='lookup'):
@@ -74,12 +76,15 @@
 class HealthReport(Message, frozen=True, array_like=True, tag='health'):
     """A verdict of one balancer about backend servers that it watches.
 
-    ``verdicts`` maps a backend id to whether it is usable.
+    ``verdicts`` maps a backend id to whether it is usable. Peers pass reports
+    on, so ``incarnation`` and ``sequence`` order those of one sender.
     """
 
     sender: str
     service_id: str
     verdicts: dict[str, bool]
+    incarnation: int = 0
+    sequence: int = 0
 
 
 PeerMessage: TypeAlias = (
--- /dev/null
+++ b/src/currantshore/internal/votes.py
@@ -0,0 +1,78 @@
+"""Verdicts of other balancers about backend servers."""
+
+from collections.abc import Collection
+from typing import Final
+
+from currantshore.internal.peerwire import HealthReport
+
+# Down verdicts are repeated well within this time while they last.
+VOTE_LIFETIME_S: Final = 20.0
+QUORUM: Final = 2
+_Order = tuple[int, int]
+
+
+class Votes:
+    """The newest vote of each balancer that holds a backend server down."""
+
+    __slots__ = ('_down', '_newest')
+
+    def __init__(self) -> None:
+        """Start without votes."""
+        self._down: dict[str, dict[str, float]] = {}
+        self._newest: dict[tuple[str, str], _Order] = {}
+
+    def take(self, report: HealthReport, now_s: float) -> bool:
+        """Store the newer verdicts of ``report``; tell whether any is new."""
+        order = (report.incarnation, report.sequence)
+        is_new = False
+        for backend_id, is_usable in report.verdicts.items():
+            pair = (report.sender, backend_id)
+            if order <= self._newest.get(pair, (-1, -1)):
+                continue
+            self._newest[pair] = order
+            is_new = True
+            self._store(report.sender, backend_id, is_usable, now_s)
+        return is_new
+
+    def suspected(self) -> set[str]:
+        """Return the backend ids that any balancer holds down."""
+        return set(self._down)
+
+    def count_down(self, backend_id: str) -> int:
+        """Return how many balancers hold ``backend_id`` down."""
+        return len(self._down.get(backend_id, ()))
+
+    def expire(
+        self,
+        live: Collection[str],
+        backends: Collection[str],
+        now_s: float,
+    ) -> None:
+        """Drop old votes and those of hosts or backend servers that left."""
+        for backend_id, voters in list(self._down.items()):
+            kept = {
+                sender: voted_s
+                for sender, voted_s in voters.items()
+                if sender in live and now_s - voted_s < VOTE_LIFETIME_S
+            }
+            if kept and backend_id in backends:
+                self._down[backend_id] = kept
+            else:
+                self._down.pop(backend_id)
+        self._newest = {
+            pair: order
+            for pair, order in self._newest.items()
+            if pair[0] in live and pair[1] in backends
+        }
+
+    def _store(
+        self,
+        sender: str,
+        backend_id: str,
+        is_usable: bool,
+        now_s: float,
+    ) -> None:
+        if is_usable:
+            self._down.get(backend_id, {}).pop(sender, None)
+        else:
+            self._down.setdefault(backend_id, {})[sender] = now_s
