--- /dev/null
+++ b/src/currantshore/internal/datagrams.py
@@ -0,0 +1,213 @@
+"""UDP sockets of a balancer: batched reads, immediate sends.
+
+Each socket is opened, read and closed by one task. A wake-up reads up to
+``BATCH_LIMIT`` datagrams and passes them on as one circuits event, because
+circuits passes fewer events a second than a balancer must carry packets.
+"""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Callable
+from typing import Final, TypeAlias
+
+from circuits import Component, Event
+
+from currantshore.wire import MAX_DATAGRAM_SIZE_BYTES, Endpoint
+
+BATCH_LIMIT: Final = 64
+
+# One byte more than is accepted, so that an oversized datagram is still
+# recognized as such after the kernel has cut it off.
+_READ_SIZE_BYTES: Final = MAX_DATAGRAM_SIZE_BYTES + 1
+
+# The kernel default of about 200 KB holds 130 datagrams of full size, less
+# than what arrives while the process is not scheduled for 10 ms.
+_BUFFER_SIZE_BYTES: Final = 4 * 1024 * 1024
+
+Batch: TypeAlias = list[tuple[bytes, tuple[str, int]]]
+BatchHook: TypeAlias = Callable[[Batch], None]
+
+
+class CallerBatch(Event):  # type: ignore[misc]
+    """Datagrams (payload, source) that arrived on a service's address."""
+
+    name = 'caller_batch'
+
+
+class BackendBatch(Event):  # type: ignore[misc]
+    """Datagrams that arrived from backend servers."""
+
+    name = 'backend_batch'
+
+
+class PeerBatch(Event):  # type: ignore[misc]
+    """Datagrams that arrived from other balancers."""
+
+    name = 'peer_batch'
+
+
+class BatchSocket:
+    """A non-blocking UDP socket, read in batches."""
+
+    __slots__ = (
+        '_closing',
+        '_loop',
+        '_on_batch',
+        '_socket',
+        'address',
+        'failed_sends',
+        'received',
+        'sent',
+    )
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        udp_socket: socket.socket,
+        on_batch: BatchHook,
+    ) -> None:
+        """Prefer ``open_at``, which binds the socket."""
+        self._loop = loop
+        self._socket = udp_socket
+        self._on_batch = on_batch
+        self._closing = asyncio.Event()
+        host, port = udp_socket.getsockname()[:2]
+        self.address = Endpoint(host, port)
+        self.received = 0
+        self.sent = 0
+        self.failed_sends = 0
+
+    @classmethod
+    def open_at(
+        cls,
+        loop: asyncio.AbstractEventLoop,
+        address: Endpoint,
+        on_batch: BatchHook,
+    ) -> 'BatchSocket':
+        """Bind to ``address`` (port 0 for any); raises ``OSError``."""
+        family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
+        udp_socket = socket.socket(family, socket.SOCK_DGRAM)
+        try:
+            _prepare(udp_socket, address)
+        except OSError:
+            udp_socket.close()
+            raise
+        return cls(loop, udp_socket, on_batch)
+
+    async def own(self) -> None:
+        """Read until ``close`` is called, then close the socket."""
+        number = self._socket.fileno()
+        self._loop.add_reader(number, self._read_batch)
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(contextlib.closing(self._socket))
+            stack.callback(self._loop.remove_reader, number)
+            await self._closing.wait()
+
+    def close(self) -> None:
+        """Let the owning task end."""
+        self._closing.set()
+
+    def send(self, payload: bytes, target: Endpoint) -> None:
+        """Send at once; a full buffer or bad address drops the datagram.
+
+        UDP promises no delivery, so nothing is queued here: callers and
+        balancers repeat what was lost.
+        """
+        try:
+            self._socket.sendto(payload, (target.host, target.port))
+        except (OSError, OverflowError):
+            self.failed_sends += 1
+        else:
+            self.sent += 1
+
+    def _read_batch(self) -> None:
+        batch: Batch = []
+        receive = self._socket.recvfrom
+        try:
+            for _ in range(BATCH_LIMIT):
+                batch.append(receive(_READ_SIZE_BYTES))
+        except OSError:
+            # The socket has been read empty, or reports an earlier send.
+            pass
+        if batch:
+            self.received += len(batch)
+            self._on_batch(batch)
+
+
+def _prepare(udp_socket: socket.socket, address: Endpoint) -> None:
+    udp_socket.setblocking(False)
+    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        udp_socket.setsockopt(socket.SOL_SOCKET, option, _BUFFER_SIZE_BYTES)
+    udp_socket.bind((address.host, address.port))
+
+
+class Datagrams(Component):  # type: ignore[misc]
+    """The sockets of one balancer; fires a batch event for each read."""
+
+    channel = 'datagrams'
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Prefer ``from_addresses``."""
+        self._loop = loop
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.services: dict[str, BatchSocket] = {}
+        self.backend: BatchSocket
+        self.peer: BatchSocket
+        super().__init__()
+
+    @classmethod
+    def from_addresses(
+        cls,
+        loop: asyncio.AbstractEventLoop,
+        backend_address: Endpoint,
+        peer_address: Endpoint,
+    ) -> 'Datagrams':
+        """Open the backend and peer sockets; raises ``OSError``."""
+        datagrams = cls(loop)
+        datagrams.backend = datagrams.open_socket(
+            backend_address,
+            lambda batch: datagrams.pass_on(BackendBatch(batch)),
+        )
+        datagrams.peer = datagrams.open_socket(
+            peer_address,
+            lambda batch: datagrams.pass_on(PeerBatch(batch)),
+        )
+        return datagrams
+
+    def open_service(self, service_id: str, address: Endpoint) -> None:
+        """Open the socket of a service unless it is open already."""
+        if service_id not in self.services:
+            self.services[service_id] = self.open_socket(
+                address,
+                lambda batch: self.pass_on(CallerBatch(service_id, batch)),
+            )
+
+    def close_service(self, service_id: str) -> None:
+        """Close the socket of a service that was removed."""
+        self.services.pop(service_id).close()
+
+    def open_socket(
+        self, address: Endpoint, on_batch: BatchHook
+    ) -> BatchSocket:
+        """Open a socket and start the task that owns it."""
+        opened = BatchSocket.open_at(self._loop, address, on_batch)
+        task = self._loop.create_task(opened.own())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return opened
+
+    def pass_on(self, event: Event) -> None:
+        """Fire a batch to the component that drives the core."""
+        self.fire(event, 'core')
+
+    def sockets(self) -> dict[str, BatchSocket]:
+        """Return all open sockets by their name in metrics."""
+        named = {f'service:{key}': one for key, one in self.services.items()}
+        return named | {'backend': self.backend, 'peer': self.peer}
+
+    async def close(self) -> None:
+        """Close every socket and wait for its task."""
+        for opened in self.sockets().values():
+            opened.close()
+        await asyncio.gather(*self._tasks)
--- /dev/null
+++ b/src/currantshore/internal/following.py
@@ -0,0 +1,122 @@
+"""The component that follows the platform's objects of one pool."""
+
+import asyncio
+import random
+from typing import Final
+
+import msgspec
+from circuits import Component
+
+from currantshore.core import BalancerCore
+from currantshore.errors import PlatformError, VersionConflictError
+from currantshore.internal.logs import get_logger
+from currantshore.internal.objects import pool_prefix, status_key
+from currantshore.internal.peers import Peers
+from currantshore.internal.platform import PlatformClient, PlatformObject
+from currantshore.internal.settings import Settings
+
+# A waiting watch is one call; a longer wait makes fewer calls, but a watcher
+# that was replaced keeps its watch for as long.
+WATCH_TIMEOUT_S: Final = 25.0
+
+_RETRY_MIN_S: Final = 0.2
+_RETRY_MAX_S: Final = 5.0
+_IDLE_CHECK_S: Final = 0.5
+
+
+class PlatformFollower(Component):  # type: ignore[misc]
+    """Watches objects if this host is a watcher; writes the pool's status."""
+
+    channel = 'platform'
+
+    def __init__(
+        self,
+        core: BalancerCore,
+        client: PlatformClient,
+        peers: Peers,
+        settings: Settings,
+    ) -> None:
+        """Follow with ``client``; pass what is new to ``peers``."""
+        self._core = core
+        self._client = client
+        self._peers = peers
+        self._settings = settings
+        self._rng = random.Random(settings.seed)
+        self._prefix = pool_prefix(settings.pool_id)
+        self._last_status = b''
+        self._log = get_logger('platform')
+        super().__init__()
+
+    async def follow(self) -> None:
+        """Learn the first configuration, then watch; runs until cancelled."""
+        failures = 0
+        while True:
+            if not self._core.watches_platform():
+                await asyncio.sleep(_IDLE_CHECK_S)
+                continue
+            try:
+                await self._watch_once()
+            except PlatformError as error:
+                failures += 1
+                await self._recover(failures, error)
+            else:
+                failures = 0
+
+    async def report(self) -> None:
+        """Write the status object while this host is the reporter."""
+        while True:
+            await asyncio.sleep(self._settings.status_interval_s)
+            if self._core.reports_status():
+                await self._write_status()
+
+    async def _watch_once(self) -> None:
+        # A listing before the watch gives its start, and brings up to date a
+        # host that has just become a watcher.
+        listing = await self._client.list_objects(self._prefix)
+        self._accept(listing.objects)
+        after = listing.revision
+        while self._core.watches_platform():
+            seen = await self._client.watch(
+                self._prefix, after, WATCH_TIMEOUT_S
+            )
+            after = max(after, seen.revision)
+            self._accept(seen.changes)
+        self._log.info('watch_ended')
+
+    async def _recover(self, failures: int, error: PlatformError) -> None:
+        self._log.warning('platform_unavailable', error=str(error))
+        if self._core.pool() is None:
+            await self._ask_seed_peers()
+        longest_s = min(_RETRY_MAX_S, _RETRY_MIN_S * 2 ** min(failures, 8))
+        await asyncio.sleep(self._rng.uniform(_RETRY_MIN_S, longest_s))
+
+    async def _ask_seed_peers(self) -> None:
+        seeds = list(self._settings.seed_peers)
+        self._rng.shuffle(seeds)
+        while seeds and self._core.pool() is None:
+            await self._peers.fetch_from(seeds.pop())
+
+    def _accept(self, objects: tuple[PlatformObject, ...]) -> None:
+        self._peers.accept_objects(
+            (found.key, found.version, bytes(found.value))
+            for found in objects
+            if not found.is_deleted
+        )
+
+    async def _write_status(self) -> None:
+        body = msgspec.json.encode(self._core.status_report())
+        if body == self._last_status:
+            return
+        key = status_key(self._settings.pool_id)
+        writer = f'{self._settings.host_id}-{self._rng.getrandbits(32):08x}'
+        try:
+            found = await self._client.get(key)
+            version = 0 if found is None else found.version
+            await self._client.put_if(key, body, version, writer)
+        except VersionConflictError:
+            # Two hosts took themselves for the reporter; the next write tells.
+            self._log.info('status_write_conflict')
+        except PlatformError as error:
+            self._log.warning('status_write_failed', error=str(error))
+        else:
+            self._last_status = body
--- /dev/null
+++ b/src/currantshore/internal/peers.py
@@ -0,0 +1,146 @@
+"""The component that carries out the core's calls to other balancers."""
+
+import asyncio
+from collections.abc import Iterable
+from typing import Any
+
+from circuits import Component, handler
+
+from currantshore.codes import RetryReason
+from currantshore.core import BalancerCore
+from currantshore.internal.driver import CoreInput, PeerAction
+from currantshore.internal.events import (
+    ConfigurationChanged,
+    FetchConfiguration,
+    FlowsHandedOver,
+    HandOverFlows,
+    HandOverRequests,
+    HandoverFinished,
+    RequestsHandedOver,
+)
+from currantshore.internal.logs import get_logger
+from currantshore.internal.objects import merge_objects
+from currantshore.internal.rpc import PeerCallError, PeerClient
+from currantshore.internal.snapshot import PoolSnapshot
+from currantshore.wire import Endpoint
+
+
+class Peers(Component):  # type: ignore[misc]
+    """Calls peers in tasks of their own and feeds the outcomes back."""
+
+    channel = 'peers'
+
+    def __init__(
+        self,
+        core: BalancerCore,
+        client: PeerClient,
+        pool_id: str,
+        incarnation: int,
+    ) -> None:
+        """Call with ``client`` on behalf of ``core``."""
+        self._core = core
+        self._client = client
+        self._pool_id = pool_id
+        self._incarnation = incarnation
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._fetching: set[Endpoint] = set()
+        self._log = get_logger('peers')
+        super().__init__()
+
+    @handler('peer_call')  # type: ignore[untyped-decorator]
+    def on_peer_call(self, action: PeerAction) -> None:
+        """Start the call that ``action`` asks for."""
+        task = asyncio.get_running_loop().create_task(self._run(action))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def on_handed_over(
+        self, event: FlowsHandedOver | RequestsHandedOver
+    ) -> None:
+        """Pass a handover to the core before it is acknowledged."""
+        self.fire(CoreInput(event), 'core')
+        self.root.flush_now()
+
+    def pool(self) -> PoolSnapshot | None:
+        """Return what this balancer holds."""
+        return self._core.pool()
+
+    async def fetch_from(self, target: Endpoint) -> bool:
+        """Fetch newer configuration; tell whether the call succeeded."""
+        if target in self._fetching:
+            return True
+        self._fetching.add(target)
+        try:
+            objects = await self._client.fetch(target, self._core.pool())
+        except PeerCallError as error:
+            self._core.counters.retry(RetryReason.CONFIGURATION_FETCH_FAILED)
+            self._log.warning('configuration_fetch_failed', error=str(error))
+            return False
+        finally:
+            self._fetching.discard(target)
+        self.accept_objects(objects)
+        return True
+
+    def accept_objects(self, objects: Iterable[tuple[str, int, bytes]]) -> None:
+        """Merge (key, version, body) into what is held and feed the core."""
+        held = self._core.pool()
+        merged, faults = merge_objects(self._pool_id, held, objects)
+        for fault in faults:
+            self._log.error('object_unreadable', error=fault)
+        if merged is not None and merged != held:
+            self.fire(CoreInput(ConfigurationChanged(merged)), 'core')
+            self.root.flush_now()
+
+    async def close(self) -> None:
+        """Wait for the calls in progress and close the connections."""
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._client.close()
+
+    async def _run(self, action: PeerAction) -> None:
+        target = self._find(action.host_id)
+        match action:
+            case FetchConfiguration():
+                if target is not None:
+                    await self.fetch_from(target)
+            case HandOverFlows():
+                await self._hand_over_flows(target, action)
+            case HandOverRequests():
+                await self._hand_over_requests(target, action)
+
+    async def _hand_over_flows(
+        self,
+        target: Endpoint | None,
+        action: HandOverFlows,
+    ) -> None:
+        is_acknowledged = False
+        if target is not None:
+            is_acknowledged = await self._client.hand_over_flows(target, action)
+        outcome = HandoverFinished(
+            action.host_id,
+            action.service_id,
+            action.handover_id,
+            is_acknowledged,
+        )
+        self.fire(CoreInput(outcome), 'core')
+
+    async def _hand_over_requests(
+        self,
+        target: Endpoint | None,
+        action: HandOverRequests,
+    ) -> None:
+        is_accepted = False
+        if target is not None:
+            is_accepted = await self._client.hand_over_requests(
+                target, action, self._incarnation
+            )
+        if not is_accepted:
+            self._log.warning('request_handover_failed', host=action.host_id)
+
+    def _find(self, host_id: str) -> Endpoint | None:
+        pool: Any = self._core.pool()
+        hosts = () if pool is None else pool.members.hosts
+        for host in hosts:
+            if host.host_id == host_id:
+                endpoint: Endpoint = host.rpc_endpoint
+                return endpoint
+        return None
--- /dev/null
+++ b/src/currantshore/internal/protos/__init__.py
@@ -0,0 +1,1 @@
+"""Generated code of the service between balancers."""
--- /dev/null
+++ b/src/currantshore/internal/rpc.py
@@ -0,0 +1,276 @@
+"""The grpclib service between the balancers of a pool.
+
+A call carries a keyed BLAKE2b tag of its request as metadata, so that only
+holders of the pool's key are answered.
+"""
+
+import asyncio
+import dataclasses
+import hashlib
+import hmac
+import socket
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any, Final, Protocol
+
+import msgspec
+from grpclib.client import Channel
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.server import Server
+
+from currantshore.errors import CurrantshoreError
+from currantshore.internal.events import (
+    FlowsHandedOver,
+    HandOverFlows,
+    HandOverRequests,
+    RequestsHandedOver,
+)
+from currantshore.internal.hashing import stable_hash
+from currantshore.internal.protos import peers_grpc, peers_pb2
+from currantshore.internal.snapshot import (
+    PoolMembers,
+    PoolSnapshot,
+    ServiceSnapshot,
+    pool_key,
+    service_key,
+)
+from currantshore.wire import Endpoint
+
+# A lost answer to a handover delays a commit, which waits 2.5 s at most.
+CALL_TIMEOUT_S: Final = 1.0
+
+_TAG_NAME: Final = 'currantshore-tag'
+_TAG_SIZE_BYTES: Final = 16
+_CALL_ERRORS: Final = (
+    GRPCError,
+    StreamTerminatedError,
+    OSError,
+    asyncio.TimeoutError,
+)
+
+
+class PeerCallError(CurrantshoreError):
+    """Raised when a call to another balancer failed."""
+
+
+class PeerHandler(Protocol):
+    """What the service asks of the process that it is part of."""
+
+    def on_handed_over(
+        self, event: FlowsHandedOver | RequestsHandedOver
+    ) -> None:
+        """Pass a handover on to the core."""
+
+    def pool(self) -> PoolSnapshot | None:
+        """Return the configuration that this process holds."""
+
+
+class PeerService(peers_grpc.PeersBase):
+    """Answers the calls of other balancers."""
+
+    __slots__ = ('_handler', '_key')
+
+    def __init__(self, handler: PeerHandler, key: bytes) -> None:
+        """Pass what arrives to ``handler``; ``key`` is the pool's key."""
+        self._handler = handler
+        self._key = key
+
+    # The names of the three methods come from the .proto file.
+    async def FetchConfiguration(self, stream: Any) -> None:  # noqa: N802
+        """Answer with the objects that are newer than those held."""
+        request = await self._receive(stream)
+        pool = self._handler.pool()
+        objects: Iterable[peers_pb2.ConfigurationObject] = ()
+        if pool is not None:
+            objects = newer_objects(pool, request.held_versions)
+        await stream.send_message(
+            peers_pb2.FetchConfigurationReply(objects=objects),
+        )
+
+    async def HandOverFlows(self, stream: Any) -> None:  # noqa: N802
+        """Pass exceptions to the core; the reply acknowledges them."""
+        request = await self._receive(stream)
+        self._handler.on_handed_over(
+            FlowsHandedOver(
+                request.sender,
+                request.service_id,
+                dict(request.flows),
+            ),
+        )
+        await stream.send_message(peers_pb2.HandOverReply(is_accepted=True))
+
+    async def HandOverRequests(self, stream: Any) -> None:  # noqa: N802
+        """Pass request ids of a leaving executor to the core."""
+        request = await self._receive(stream)
+        self._handler.on_handed_over(
+            RequestsHandedOver(
+                request.sender,
+                request.sender_incarnation,
+                request.service_id,
+                request.body,
+            ),
+        )
+        await stream.send_message(peers_pb2.HandOverReply(is_accepted=True))
+
+    async def _receive(self, stream: Any) -> Any:
+        request = await stream.recv_message()
+        given = str(stream.metadata.get(_TAG_NAME, ''))
+        if request is None or not hmac.compare_digest(
+            given.encode(), _tag(request, self._key).encode()
+        ):
+            raise GRPCError(Status.UNAUTHENTICATED, 'the tag does not match')
+        return request
+
+
+class PeerClient:
+    """Calls other balancers; keeps one connection to each."""
+
+    __slots__ = ('_channels', '_key', '_sender', 'sent_bytes')
+
+    def __init__(self, sender: str, key: bytes) -> None:
+        """Call as host ``sender`` with the pool's ``key``."""
+        self._sender = sender
+        self._key = key
+        self._channels: dict[Endpoint, Channel] = {}
+        self.sent_bytes = 0
+
+    async def fetch(
+        self,
+        target: Endpoint,
+        held: PoolSnapshot | None,
+    ) -> list[tuple[str, int, bytes]]:
+        """Return (key, version, body) of objects newer than those held.
+
+        Raises ``PeerCallError``.
+        """
+        versions = {} if held is None else held.versions()
+        request = peers_pb2.FetchConfigurationRequest(
+            sender=self._sender,
+            held_versions={
+                stable_hash(key): version for key, version in versions.items()
+            },
+        )
+        stub = self._stub(target)
+        reply = await self._call(stub.FetchConfiguration, request)
+        return [(one.key, one.version, one.body) for one in reply.objects]
+
+    async def hand_over_flows(
+        self,
+        target: Endpoint,
+        action: HandOverFlows,
+    ) -> bool:
+        """Hand exceptions over; tell whether they were acknowledged."""
+        request = peers_pb2.HandOverFlowsRequest(
+            sender=self._sender,
+            service_id=action.service_id,
+            handover_id=action.handover_id,
+            flows=dict(action.flows),
+        )
+        return await self._acknowledged(
+            self._stub(target).HandOverFlows, request
+        )
+
+    async def hand_over_requests(
+        self,
+        target: Endpoint,
+        action: HandOverRequests,
+        incarnation: int,
+    ) -> bool:
+        """Hand request ids over; tell whether they were acknowledged."""
+        request = peers_pb2.HandOverRequestsRequest(
+            sender=self._sender,
+            sender_incarnation=incarnation,
+            service_id=action.service_id,
+            body=action.body,
+        )
+        return await self._acknowledged(
+            self._stub(target).HandOverRequests, request
+        )
+
+    def close(self) -> None:
+        """Close all connections."""
+        for channel in self._channels.values():
+            channel.close()
+        self._channels.clear()
+
+    def _stub(self, target: Endpoint) -> peers_grpc.PeersStub:
+        if target not in self._channels:
+            self._channels[target] = Channel(target.host, target.port)
+        return peers_grpc.PeersStub(self._channels[target])
+
+    async def _acknowledged(self, method: Any, request: Any) -> bool:
+        try:
+            reply = await self._call(method, request)
+        except PeerCallError:
+            return False
+        return bool(reply.is_accepted)
+
+    async def _call(
+        self,
+        method: Callable[..., Any],
+        request: Any,
+    ) -> Any:
+        self.sent_bytes += request.ByteSize()
+        metadata = {_TAG_NAME: _tag(request, self._key)}
+        try:
+            return await method(
+                request, timeout=CALL_TIMEOUT_S, metadata=metadata
+            )
+        except _CALL_ERRORS as error:
+            raise PeerCallError(f'{type(error).__name__}: {error}') from error
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListeningPeers:
+    """A running server and the address that it is bound to."""
+
+    server: Server
+    address: Endpoint
+
+
+async def serve_peers(
+    handler: PeerHandler,
+    key: bytes,
+    address: Endpoint,
+) -> ListeningPeers:
+    """Listen for calls on ``address``; raises ``OSError``."""
+    # The port is taken here, because grpclib does not tell which one it got.
+    family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
+    listener = socket.create_server((address.host, address.port), family=family)
+    host, port = listener.getsockname()[:2]
+    server = Server([PeerService(handler, key)])
+    await server.start(sock=listener)
+    return ListeningPeers(server, Endpoint(host, port))
+
+
+def newer_objects(
+    pool: PoolSnapshot,
+    held_versions: Mapping[int, int],
+) -> list[peers_pb2.ConfigurationObject]:
+    """Return the objects of ``pool`` that a peer holds in older versions."""
+    pool_id = pool.members.pool_id
+    records: dict[str, PoolMembers | ServiceSnapshot] = {
+        service_key(pool_id, service.service_id): service
+        for service in pool.services
+    }
+    records[pool_key(pool_id)] = pool.members
+    return [
+        peers_pb2.ConfigurationObject(
+            key=key,
+            version=record.version,
+            body=msgspec.json.encode(record),
+        )
+        for key, record in records.items()
+        if record.version > held_versions.get(stable_hash(key), -1)
+    ]
+
+
+def _tag(request: Any, key: bytes) -> str:
+    body = request.SerializeToString(deterministic=True)
+    scope = type(request).__name__.encode()[:16]
+    return hashlib.blake2b(
+        body,
+        digest_size=_TAG_SIZE_BYTES,
+        key=key,
+        person=scope,
+    ).hexdigest()
