--- a/src/currantshore/internal/daemon.py
+++ b/src/currantshore/internal/daemon.py
@@ -213,8 +213,13 @@
             self._datagrams.sockets,
             self._gauges,
             self._control_bytes,
+            self._versions,
         )
 
+    def _versions(self) -> Mapping[str, int]:
+        pool = self._core.pool()
+        return {} if pool is None else pool.versions()
+
     def _gauges(self) -> Mapping[str, float]:
         usage = resource.getrusage(resource.RUSAGE_SELF)
         return {
--- a/src/currantshore/internal/metrics.py
+++ b/src/currantshore/internal/metrics.py
@@ -21,6 +21,7 @@
     sockets: Callable[[], Mapping[str, BatchSocket]]
     gauges: Callable[[], Mapping[str, float]]
     control_bytes: Callable[[], Mapping[str, int]]
+    versions: Callable[[], Mapping[str, int]]
 
 
 class BalancerCollector(Collector):
@@ -36,6 +37,14 @@
         """Yield one family for each kind of count."""
         yield from self._core_counts()
         yield from self._socket_counts()
+        versions = GaugeMetricFamily(
+            'currantshore_configuration_version',
+            'Version held of each configuration object.',
+            labels=['key'],
+        )
+        for key, version in self._sources.versions().items():
+            versions.add_metric([key], version)
+        yield versions
         for name, gauge in self._sources.gauges().items():
             yield GaugeMetricFamily(
                 f'currantshore_{name}',
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -65,6 +65,7 @@
         'counts',
         'flow_id',
         'is_broken',
+        'outcomes',
         'sequence',
         'service_id',
         'token',
@@ -88,6 +89,7 @@
         self.backend_id = ''
         self.token = b''
         self.is_broken = False
+        self.outcomes: list[Outcome] = []
         self.counts: Counter[str] = Counter()
 
     @property
@@ -162,6 +164,7 @@
         if outcome is None:
             outcome = Outcome(request_id, None)
         self._count(outcome, request.payload)
+        self.outcomes.append(outcome)
         return outcome
 
     def cancel(self, request_id: int) -> None:
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,199 @@
+"""Runs both example users on loopback through a drain and a killed balancer.
+
+``python -m standins.demo [--json] [--short] [--seed N]`` starts the platform
+stand-in, the backend servers and six balancers of each user as processes,
+opens flows, sends requests, drains one backend server and kills one balancer.
+The exit code is 0 only if no promise was broken.
+"""
+
+import argparse
+import asyncio
+import signal
+import sys
+from collections import Counter
+from typing import Any, Final
+
+import msgspec
+
+from standins import users
+from standins.cluster import Cluster, ClusterError, start_platform
+from standins.userrun import Scale, UserRun
+
+_PROMISES: Final = (
+    'flows_broken',
+    'answers_wrong_service',
+    'answers_wrong_request',
+    'answers_wrong_flow',
+    'answered_but_not_run',
+    'refused_but_ran',
+    'ran_twice',
+    'new_flows_after_drain',
+    'runs_after_drain',
+    'wrong_service_packets',
+)
+
+
+_FULL: Final = Scale(flows_per_service=200, phase_s=4, pause_s=0.5)
+_SHORT: Final = Scale(flows_per_service=40, phase_s=2, pause_s=0.4)
+
+
+class Demo:
+    """The whole demo; ``stop`` ends whatever was started."""
+
+    def __init__(self, given: argparse.Namespace) -> None:
+        """Run with the command line ``given``."""
+        self._seed: int = given.seed
+        self._scale = _SHORT if given.short else _FULL
+        self._shows_progress = not given.json
+        self._platform: Any = None
+        self._clusters: list[Cluster] = []
+        self._runs: list[UserRun] = []
+
+    async def run(self) -> dict[str, Any]:
+        """Run everything and return the figures."""
+        await self._start()
+        started_s = asyncio.get_running_loop().time()
+        self._show('opening flows')
+        per_service = self._scale.flows_per_service
+        await asyncio.gather(
+            *(run.open_flows(per_service) for run in self._runs),
+        )
+        imbalance = max(run.imbalance_ratio() for run in self._runs)
+        for started in self._runs:
+            started.use_flows()
+        await asyncio.sleep(self._scale.phase_s)
+        await self._disturb()
+        await asyncio.sleep(self._scale.phase_s)
+        self._show('checking every flow')
+        await asyncio.gather(*(run.finish() for run in self._runs))
+        elapsed_s = asyncio.get_running_loop().time() - started_s
+        return await self._figures(imbalance, elapsed_s)
+
+    async def stop(self) -> None:
+        """End all flows and processes."""
+        for run in self._runs:
+            run.close()
+        await asyncio.gather(*(cluster.stop() for cluster in self._clusters))
+        if self._platform is not None:
+            await self._platform.stop()
+
+    async def _start(self) -> None:
+        self._show('starting the platform stand-in')
+        self._platform = await start_platform()
+        url = self._platform.ready['url']
+        first = 1
+        for pool in (users.lakeshore(), users.beaulac()):
+            self._clusters.append(Cluster(pool, url, first))
+            first += len(pool.members.hosts)
+        self._show('starting backend servers and 12 balancers')
+        await asyncio.gather(*(cluster.start() for cluster in self._clusters))
+        self._runs = [
+            UserRun(cluster, self._scale, self._seed + number)
+            for number, cluster in enumerate(self._clusters)
+        ]
+
+    async def _disturb(self) -> None:
+        drained = await asyncio.gather(*(run.drain() for run in self._runs))
+        self._show(f'drained {", ".join(drained)}')
+        more = max(1, self._scale.flows_per_service // 4)
+        await asyncio.gather(*(run.open_flows(more) for run in self._runs))
+        killed = await asyncio.gather(
+            *(run.kill_balancer() for run in self._runs),
+        )
+        self._show(f'killed {", ".join(killed)}')
+
+    async def _figures(
+        self, imbalance: float, elapsed_s: float
+    ) -> dict[str, Any]:
+        totals: Counter[str] = Counter()
+        in_force_ms = 0
+        reports = await asyncio.gather(
+            *(run.summarize() for run in self._runs),
+        )
+        for report in reports:
+            in_force_ms = max(in_force_ms, report.pop('config_in_force_ms'))
+            totals.update(report)
+        pages = await asyncio.gather(
+            *(
+                cluster.metrics(host_id)
+                for cluster in self._clusters
+                for host_id in cluster.running()
+            ),
+        )
+        shown = (*_PROMISES, 'requests_sent', 'answers_ok')
+        totals.update(dict.fromkeys(shown, 0))
+        return {
+            **dict(sorted(totals.items())),
+            'imbalance_ratio': round(imbalance, 3),
+            'config_in_force_s': in_force_ms / 1000,
+            'control_bytes_per_s_max': round(
+                max(map(_control_bytes, pages)) / elapsed_s,
+            ),
+            'rss_mb_max': round(max(map(_resident_mb, pages)), 1),
+            'elapsed_s': round(elapsed_s, 1),
+            'seed': self._seed,
+        }
+
+    def _show(self, what: str) -> None:
+        if self._shows_progress:
+            print(f'... {what}', flush=True)
+
+
+def _control_bytes(page: dict[str, float]) -> float:
+    return sum(
+        number
+        for name, number in page.items()
+        if name.startswith('currantshore_control_bytes_total')
+    )
+
+
+def _resident_mb(page: dict[str, float]) -> float:
+    return page['currantshore_max_resident_bytes'] / 2**20
+
+
+def broken_promises(figures: dict[str, Any]) -> list[str]:
+    """Return the names of the promises that did not hold."""
+    return [name for name in _PROMISES if figures[name]]
+
+
+def print_table(figures: dict[str, Any]) -> None:
+    """Print one line for each figure."""
+    width = max(map(len, figures))
+    for name, figure in figures.items():
+        mark = '  <- must be 0' if name in _PROMISES and figure else ''
+        print(f'{name:<{width}}  {figure}{mark}')
+
+
+async def run_demo(given: argparse.Namespace) -> int:
+    """Run the demo until it ends or is interrupted; return the exit code."""
+    demo = Demo(given)
+    work = asyncio.ensure_future(demo.run())
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, work.cancel)
+    try:
+        figures = await work
+    except (ClusterError, asyncio.CancelledError) as error:
+        print(f'demo ended early: {error!r}', file=sys.stderr)
+        return 1
+    finally:
+        await demo.stop()
+    broken = broken_promises(figures)
+    if given.json:
+        print(msgspec.json.encode(figures).decode(), flush=True)
+    else:
+        print_table(figures)
+    return 1 if broken else 0
+
+
+def main() -> int:
+    """Parse the command line and run."""
+    parser = argparse.ArgumentParser(description='demo of currantshore')
+    parser.add_argument('--json', action='store_true')
+    parser.add_argument('--short', action='store_true')
+    parser.add_argument('--seed', type=int, default=1)
+    return asyncio.run(run_demo(parser.parse_args()))
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,140 @@
+"""Starts and ends plain processes on loopback; for the demo and tests only."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import signal
+import socket
+import sys
+import tempfile
+from typing import IO, Any, Final
+
+import msgspec
+
+from currantshore.wire import Endpoint
+
+_ROOT: Final = pathlib.Path(__file__).resolve().parent.parent
+_START_TIMEOUT_S: Final = 30.0
+_STOP_TIMEOUT_S: Final = 15.0
+_SHOWN_LOG_LINES: Final = 15
+
+
+class ChildProcess:
+    """A child process that is ended by its own process id."""
+
+    __slots__ = ('_log', '_process', 'name', 'ready')
+
+    def __init__(
+        self,
+        name: str,
+        process: asyncio.subprocess.Process,
+        log: IO[bytes],
+    ) -> None:
+        """Prefer ``start``."""
+        self.name = name
+        self._process = process
+        self._log = log
+        self.ready: Any = None
+
+    @classmethod
+    async def start(cls, name: str, *arguments: str) -> 'ChildProcess':
+        """Run ``python ARGUMENTS``; its standard error goes to a file."""
+        log = tempfile.TemporaryFile()
+        paths = f'{_ROOT / "src"}{os.pathsep}{_ROOT}'
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *arguments,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=log,
+            env=os.environ | {'PYTHONPATH': paths},
+            # A Ctrl-C reaches only the parent, which then stops its children.
+            start_new_session=True,
+        )
+        return cls(name, process, log)
+
+    @property
+    def pid(self) -> int:
+        """The process id."""
+        return self._process.pid
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the process has not ended."""
+        return self._process.returncode is None
+
+    async def read_line(self) -> Any:
+        """Read one JSON line of its standard output."""
+        stdout = self._process.stdout
+        if stdout is None:
+            raise RuntimeError(f'{self.name} has no standard output')
+        line = await asyncio.wait_for(stdout.readline(), _START_TIMEOUT_S)
+        if not line:
+            raise RuntimeError(f'{self.name} ended early:\n{self.log_tail()}')
+        return msgspec.json.decode(line)
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to this process, if it still runs."""
+        with contextlib.suppress(ProcessLookupError):
+            self._process.send_signal(number)
+
+    async def wait(self, timeout_s: float = _STOP_TIMEOUT_S) -> int:
+        """Wait for the end and return the exit code."""
+        return await asyncio.wait_for(self._process.wait(), timeout_s)
+
+    async def stop(self) -> int:
+        """Ask it to end; kill it if it does not."""
+        self.send_signal(signal.SIGTERM)
+        self.send_signal(signal.SIGCONT)
+        try:
+            return await self.wait()
+        except TimeoutError:
+            return await self.kill()
+
+    async def kill(self) -> int:
+        """End it at once."""
+        self.send_signal(signal.SIGKILL)
+        return await self._process.wait()
+
+    def log_text(self) -> str:
+        """Return all that it wrote to standard error."""
+        size = os.fstat(self._log.fileno()).st_size
+        return os.pread(self._log.fileno(), size, 0).decode(errors='replace')
+
+    def log_tail(self) -> str:
+        """Return the last lines of its standard error."""
+        return '\n'.join(self.log_text().splitlines()[-_SHOWN_LOG_LINES:])
+
+
+class Reservation:
+    """Free ports of one loopback address, held until they are needed.
+
+    Each balancer has a loopback address of its own, so that the ports that the
+    kernel gives to callers on 127.0.0.1 cannot collide with them.
+    """
+
+    __slots__ = ('_held', 'host')
+
+    def __init__(self, host: str) -> None:
+        """Reserve on ``host``."""
+        self.host = host
+        self._held: list[socket.socket] = []
+
+    def take(self, kind: socket.SocketKind) -> Endpoint:
+        """Reserve a free port for a stream or datagram socket."""
+        held = socket.socket(socket.AF_INET, kind)
+        held.bind((self.host, 0))
+        self._held.append(held)
+        return Endpoint(self.host, held.getsockname()[1])
+
+    def release(self) -> None:
+        """Free all ports just before they are bound."""
+        for held in self._held:
+            held.close()
+        self._held.clear()
+
+
+def loopback_host(number: int) -> str:
+    """Return a loopback address for host ``number`` of this process."""
+    block = 1 + os.getpid() % 200
+    return f'127.{block}.{os.getpid() // 200 % 256}.{number}'
