--- a/src/currantshore/internal/following.py
+++ b/src/currantshore/internal/following.py
@@ -10,7 +10,7 @@
 from currantshore.core import BalancerCore
 from currantshore.errors import PlatformError, VersionConflictError
 from currantshore.internal.logs import get_logger
-from currantshore.internal.objects import pool_prefix, status_key
+from currantshore.internal.records import pool_prefix, status_key
 from currantshore.internal.peers import Peers
 from currantshore.internal.platform import PlatformClient, PlatformObject
 from currantshore.internal.settings import Settings
--- a/src/currantshore/internal/peers.py
+++ b/src/currantshore/internal/peers.py
@@ -19,7 +19,7 @@
     RequestsHandedOver,
 )
 from currantshore.internal.logs import get_logger
-from currantshore.internal.objects import merge_objects
+from currantshore.internal.records import merge_objects
 from currantshore.internal.rpc import PeerCallError, PeerClient
 from currantshore.internal.snapshot import PoolSnapshot
 from currantshore.wire import Endpoint
--- a/tests/contract/test_rpc.py
+++ b/tests/contract/test_rpc.py
@@ -12,7 +12,7 @@
     HandOverRequests,
     RequestsHandedOver,
 )
-from currantshore.internal.objects import merge_objects
+from currantshore.internal.records import merge_objects
 from currantshore.internal.rpc import PeerCallError, PeerClient, serve_peers
 from currantshore.internal.snapshot import pool_key
 from currantshore.wire import Endpoint
