--- a/src/currantshore/internal/daemon.py
+++ b/src/currantshore/internal/daemon.py
@@ -7,8 +7,8 @@
 import signal
 import sys
 import time
-from collections.abc import Mapping, Sequence
-from typing import Any, Final
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from typing import Final
 
 from currantshore.core import BalancerCore, CoreConfig
 from currantshore.errors import SettingsError
@@ -29,7 +29,7 @@
 
 _INCARNATION_BITS: Final = 63
 _IDLE_CHECK_S: Final = 0.05
-_FETCH_BACKOFF_S: Final = 0.2
+_RESTART_DELAY_S: Final = 0.2
 
 
 class Balancer:
@@ -106,11 +106,11 @@
             settings.admin_address, registry, self.is_ready
         )
         for work in (
-            self._driver.run_ticks(),
-            self._follower.follow(),
-            self._follower.report(),
+            self._driver.run_ticks,
+            self._follower.follow,
+            self._follower.report,
         ):
-            self._tasks.append(self._loop.create_task(work))
+            self._tasks.append(self._loop.create_task(self._keep(work)))
         self._log.info(
             'started',
             host_id=settings.host_id,
@@ -129,13 +129,8 @@
         self._stop_requested.set()
 
     async def wait_for_stop(self) -> None:
-        """Return after a stop was requested or a task failed."""
-        stop = self._loop.create_task(self._stop_requested.wait())
-        tasks: list[asyncio.Task[Any]] = [stop, *self._tasks]
-        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-        stop.cancel()
-        for task in done:
-            task.result()
+        """Return after a stop was requested."""
+        await self._stop_requested.wait()
 
     async def leave(self) -> None:
         """Leave the pool: hand over, finish requests, then linger."""
@@ -169,6 +164,16 @@
         await self._platform.close()
         await self._datagrams.close()
 
+    async def _keep(self, work: Callable[[], Awaitable[None]]) -> None:
+        # A fault in control work must not end the process, which would break
+        # flows that need no control work.
+        while True:
+            try:
+                await work()
+            except Exception:
+                self._log.exception('task_failed', task=work.__qualname__)
+            await asyncio.sleep(_RESTART_DELAY_S)
+
     def _may_stop(self, earliest_s: float, deadline_s: float) -> bool:
         now_s = self._loop.time()
         if now_s >= deadline_s:
--- a/src/currantshore/internal/driver.py
+++ b/src/currantshore/internal/driver.py
@@ -95,9 +95,10 @@
             self.on_core_input(PeerDatagram(payload))
 
     @handler('core_input')  # type: ignore[untyped-decorator]
-    def on_core_input(self, event: Any) -> None:
+    def on_core_input(self, core_event: Any) -> None:
         """Feed one event and notice a change of configuration."""
-        self._carry_out(self._core.handle(event, self._loop.time()))
+        # Circuits would pass its own event to a parameter named ``event``.
+        self._carry_out(self._core.handle(core_event, self._loop.time()))
         pool = self._core.pool()
         if pool is not None and pool is not self._pool:
             self._pool = pool
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -201,6 +201,10 @@
         self.balancers[host_id] = child
         return child
 
+    async def kill_balancer(self, host_id: str) -> None:
+        """Kill a balancer; it may be started again."""
+        await self.balancers.pop(host_id).kill()
+
     async def wait_until_ready(self) -> None:
         """Wait until every running balancer answers that it is ready."""
         await self.wait_for('all balancers to be ready', self._all_ready)
@@ -291,7 +295,7 @@
 
     async def _all_ready(self) -> bool:
         ready = await asyncio.gather(
-            *(self.is_ready(host_id) for host_id in self.running()),
+            *(self.is_ready(host_id) for host_id in self.balancers),
         )
         return all(ready)
 
--- a/standins/userrun.py
+++ b/standins/userrun.py
@@ -107,7 +107,7 @@
     async def kill_balancer(self) -> str:
         """Kill the last balancer; the fabric notices late."""
         host_id = self._cluster.running()[-1]
-        await self._cluster.balancers[host_id].kill()
+        await self._cluster.kill_balancer(host_id)
         await asyncio.sleep(_FABRIC_LAG_S)
         self.fabric.withdraw(host_id)
         return host_id
