--- a/src/currantshore/internal/following.py
+++ b/src/currantshore/internal/following.py
@@ -12,7 +12,8 @@
 from currantshore.internal.logs import get_logger
 from currantshore.internal.records import pool_prefix, status_key
 from currantshore.internal.peers import Peers
-from currantshore.internal.platform import PlatformClient, PlatformObject
+from currantshore.internal.objects import PlatformObject
+from currantshore.internal.platform import PlatformClient
 from currantshore.internal.settings import Settings
 
 # A waiting watch is one call; a longer wait makes fewer calls, but a watcher
