Run requests at most once across relays, losses and handovers

Ruled out: a handover body that any process on the successor's host accepts; the state machine found that a copy of it let a restarted successor run a request that the process before it had refused.

--- /dev/null
+++ b/src/currantshore/internal/admission.py
@@ -0,0 +1,227 @@
+"""Which waiting request of a service runs next, and which ones may wait."""
+
+import dataclasses
+import math
+from collections.abc import Iterable, Sequence
+from typing import Final
+
+from currantshore.codes import ResultCode
+from currantshore.internal.classqueue import ClassQueue
+from currantshore.internal.runs import Work
+from currantshore.internal.snapshot import PriorityClass
+
+# Slot time used longer ago than this hardly counts for guaranteed shares.
+_SHARE_WINDOW_S: Final = 5.0
+
+# Charged for a run while the class has no mean run time yet.
+_FIRST_RUN_S: Final = 0.02
+
+# Less time than this part of a mean run is too little for a waiting request.
+_LEAST_RUN_RATIO: Final = 0.5
+
+_MS_PER_S: Final = 1000
+_MIN_RETRY_AFTER_MS: Final = 20
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rejection:
+    """A request that may not wait; ``work`` may be an older one."""
+
+    work: Work
+    code: ResultCode
+    retry_after_ms: int
+
+
+class AdmissionQueue:
+    """The classes of one service.
+
+    A class below its guaranteed share comes first, in urgency order, then the
+    most urgent class with work. Shares are of slot time, so a class with long
+    runs gets no more than one with short runs. A class that had no work does
+    not save up its share; otherwise it could block urgent work for seconds.
+    """
+
+    __slots__ = ('_classes', '_faded_s')
+
+    def __init__(self) -> None:
+        """Start without classes."""
+        self._classes: dict[str, ClassQueue] = {}
+        self._faded_s = 0.0
+
+    def __len__(self) -> int:
+        """Count the waiting requests."""
+        return sum(queue.size for queue in self._classes.values())
+
+    def configure(self, classes: Sequence[PriorityClass]) -> list[Work]:
+        """Use ``classes``; return the requests of classes that are gone."""
+        held = self._classes
+        self._classes = {}
+        for priority in sorted(classes, key=lambda each: each.urgency):
+            queue = held.pop(priority.name, None) or ClassQueue(priority)
+            queue.priority = priority
+            self._classes[priority.name] = queue
+        return [work for queue in held.values() for work in queue.drain()]
+
+    def offer(self, work: Work, slots: int, now_s: float) -> Rejection | None:
+        """Queue ``work``; return what has to be refused, if anything.
+
+        ``slots`` is the number of runs that may be out at a time.
+        """
+        queue = self._classes.get(work.request.priority_class)
+        if queue is None:
+            return Rejection(work, ResultCode.UNKNOWN_PRIORITY_CLASS, 0)
+        wait_s = self.wait_s(work, slots)
+        code = self._check(queue, work, wait_s, now_s)
+        if code is not None:
+            return Rejection(work, code, _retry_after_ms(wait_s))
+        rejection = None
+        if queue.is_full():
+            rejection = _make_room(queue, work, wait_s)
+        if rejection is None or rejection.work is not work:
+            self._activate(queue)
+            queue.push(work)
+        return rejection
+
+    def wait_s(self, work: Work, slots: int) -> float:
+        """Estimate how long ``work`` would wait for a slot."""
+        own = self._classes.get(work.request.priority_class)
+        if own is None or not len(self):
+            return 0
+        own_s = own.ahead(work.caller) * own.mean_run_s
+        urgent_s = 0.0
+        reserved = 0.0
+        for queue in self._classes.values():
+            if not queue.size or queue is own:
+                continue
+            if queue.priority.urgency < own.priority.urgency:
+                urgent_s += queue.size * queue.mean_run_s
+            else:
+                reserved += queue.priority.guaranteed_share_ratio
+        open_ratio = max(1 - reserved, own.priority.guaranteed_share_ratio)
+        by_urgency_s = (urgent_s + own_s) / (slots * open_ratio or 1)
+        share = own.priority.guaranteed_share_ratio
+        if not share:
+            return by_urgency_s
+        return min(by_urgency_s, own_s / (slots * share))
+
+    def take(self) -> Work | None:
+        """Take the request that runs next."""
+        queue = self._next_class()
+        if queue is None:
+            return None
+        return queue.pop()
+
+    def put_back(self, works: Iterable[Work]) -> None:
+        """Return requests that could not run yet to the front."""
+        for work in works:
+            queue = self._classes.get(work.request.priority_class)
+            if queue is not None:
+                queue.push_front(work)
+
+    def withdraw(self, work: Work) -> bool:
+        """Take ``work`` out; ``False`` if it does not wait."""
+        queue = self._classes.get(work.request.priority_class)
+        return queue is not None and queue.remove(work)
+
+    def give_up(self, now_s: float) -> list[Work]:
+        """Take out the requests that can no longer finish in time."""
+        late = [
+            work
+            for queue in self._classes.values()
+            for work in queue.works()
+            if self.is_too_late(work, now_s)
+        ]
+        for work in late:
+            self.withdraw(work)
+        return late
+
+    def is_too_late(self, work: Work, now_s: float) -> bool:
+        """Tell whether ``work`` cannot finish by its deadline any more."""
+        queue = self._classes.get(work.request.priority_class)
+        least_s = queue.mean_run_s * _LEAST_RUN_RATIO if queue else 0
+        # A request that did not wait is tried in any case; the mean run time
+        # could never fall again if every short deadline were refused.
+        if work.arrived_s >= now_s:
+            least_s = 0
+        return work.deadline_s - now_s <= least_s
+
+    def accepts(self, work: Work, now_s: float) -> bool:
+        """Tell whether ``work`` may be put back and can finish in time."""
+        known = work.request.priority_class in self._classes
+        return known and not self.is_too_late(work, now_s)
+
+    def drain(self) -> list[Work]:
+        """Take every waiting request out."""
+        return [
+            work for queue in self._classes.values() for work in queue.drain()
+        ]
+
+    def on_start(self, work: Work, now_s: float) -> None:
+        """Charge the expected slot time to the class."""
+        queue = self._classes.get(work.request.priority_class)
+        if queue is not None:
+            self._fade(now_s)
+            work.charged_s = queue.mean_run_s or _FIRST_RUN_S
+            queue.used_s += work.charged_s
+
+    def on_end(self, work: Work, run_s: float, *, is_answered: bool) -> None:
+        """Correct the charge by the slot time that a run really took."""
+        queue = self._classes.get(work.request.priority_class)
+        if queue is not None:
+            queue.used_s = max(queue.used_s + run_s - work.charged_s, 0)
+            if is_answered:
+                queue.learn(run_s)
+
+    def _check(
+        self,
+        queue: ClassQueue,
+        work: Work,
+        wait_s: float,
+        now_s: float,
+    ) -> ResultCode | None:
+        left_s = work.deadline_s - now_s
+        if left_s <= 0:
+            return ResultCode.DEADLINE_PASSED
+        if queue.length(work.caller) >= queue.caller_limit:
+            return ResultCode.CALLER_LIMIT
+        if wait_s and wait_s + queue.mean_run_s > left_s:
+            return ResultCode.DEADLINE_TOO_SHORT
+        return None
+
+    def _activate(self, queue: ClassQueue) -> None:
+        if queue.size:
+            return
+        total_s = sum(each.used_s for each in self._classes.values())
+        due_s = total_s * queue.priority.guaranteed_share_ratio
+        one_run_s = queue.mean_run_s or _FIRST_RUN_S
+        queue.used_s = max(queue.used_s, due_s - one_run_s)
+
+    def _next_class(self) -> ClassQueue | None:
+        total_s = sum(queue.used_s for queue in self._classes.values())
+        waiting = [queue for queue in self._classes.values() if queue.size]
+        for queue in waiting:
+            share = queue.priority.guaranteed_share_ratio
+            if queue.used_s < share * total_s:
+                return queue
+        return waiting[0] if waiting else None
+
+    def _fade(self, now_s: float) -> None:
+        factor = math.exp((self._faded_s - now_s) / _SHARE_WINDOW_S)
+        self._faded_s = now_s
+        for queue in self._classes.values():
+            queue.used_s *= factor
+
+
+def _make_room(queue: ClassQueue, work: Work, wait_s: float) -> Rejection:
+    # The caller with the most waiting requests loses one, so a greedy caller
+    # cannot keep the others out of a full class.
+    dropped = queue.drop_longest(queue.length(work.caller) + 1)
+    return Rejection(
+        dropped or work,
+        ResultCode.QUEUE_FULL,
+        _retry_after_ms(wait_s),
+    )
+
+
+def _retry_after_ms(wait_s: float) -> int:
+    return max(_MIN_RETRY_AFTER_MS, int(wait_s * _MS_PER_S))
--- a/src/currantshore/internal/answercache.py
+++ b/src/currantshore/internal/answercache.py
@@ -16,11 +16,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outcome:
-    """How a request ended: a whole answer, or a refusal with a code."""
+    """How a request ended: a whole answer, or a refusal with a code.
+
+    ``attempt`` is the caller's newest attempt when the request ended.
+    """
 
     service_id: str
     caller: wire.Endpoint
     request_id: int
+    attempt: int
     code: ResultCode
     retry_after_ms: int = 0
     run_id: int = 0
@@ -31,11 +35,16 @@
         return _ENTRY_SIZE_BYTES + sum(len(part) for part in self.parts)
 
     def to_actions(self, attempt: int) -> list[SendToCaller]:
-        """Return the datagrams that tell the caller, for its ``attempt``."""
+        """Return the datagrams that tell the caller.
+
+        ``attempt`` is that of the message that asks for the outcome; an older
+        one than the newest attempt is answered for the newest.
+        """
+        newest = max(attempt, self.attempt)
         if self.code is not ResultCode.OK:
             return [self._send(self._refusal())]
         return [
-            self._send(self._answer(attempt, index))
+            self._send(self._answer(newest, index))
             for index in range(len(self.parts))
         ]
 
--- /dev/null
+++ b/src/currantshore/internal/outcomes.py
@@ -0,0 +1,134 @@
+"""Ends requests: records ids, keeps answers, tells callers."""
+
+from currantshore.codes import ResultCode, is_not_run
+from currantshore.internal.answercache import AnswerCache, Outcome
+from currantshore.internal.counters import Count, Counters
+from currantshore.internal.events import Action
+from currantshore.internal.requestlogs import RequestLogs
+from currantshore.internal.runs import ActiveRun, RequestKey, Work
+
+
+class Outcomes:
+    """Requests in progress and the outcomes of those that ended.
+
+    All refusals pass through this class, which is where a code that promises
+    "not run" becomes ``OUTCOME_UNKNOWN`` if the request may have run.
+    """
+
+    __slots__ = ('_actions', '_answers', '_counters', 'logs', 'works')
+
+    def __init__(self, counters: Counters) -> None:
+        """Start without requests."""
+        self._counters = counters
+        self._answers = AnswerCache()
+        self._actions: list[Action] = []
+        self.logs = RequestLogs()
+        self.works: dict[RequestKey, Work] = {}
+
+    def collect(self) -> list[Action]:
+        """Return the actions since the last call."""
+        actions = self._actions
+        self._actions = []
+        return actions
+
+    def act(self, action: Action) -> None:
+        """Add an action."""
+        self._actions.append(action)
+
+    def begin(self, work: Work) -> bool:
+        """Record a fresh request; ``False`` if there are too many flows."""
+        log = self.logs.find_or_add(work.service_id, work.flow_key)
+        if log is None:
+            # Nothing is recorded, so a copy of the request may run later and
+            # "not run" cannot be promised.
+            self.refuse_once(work, ResultCode.OUTCOME_UNKNOWN)
+            return False
+        log.note(work.request.request_id)
+        self.works[work.key] = work
+        return True
+
+    def repeat(self, work: Work) -> None:
+        """Tell the caller again how a request ended."""
+        self._counters.count(Count.REQUESTS_DUPLICATE)
+        request_id = work.request.request_id
+        held = self._answers.get(work.flow_key, request_id, work.caller)
+        if held is not None:
+            self._tell(work, held)
+            return
+        log = self.logs.find(work.flow_key)
+        code = log.code(request_id) if log else ResultCode.OUTCOME_UNKNOWN
+        self.refuse_once(work, code)
+
+    def has_outcome(self, work: Work) -> bool:
+        """Tell whether ``repeat`` would send the outcome itself."""
+        request_id = work.request.request_id
+        held = self._answers.get(work.flow_key, request_id, work.caller)
+        return held is not None
+
+    def answer(self, run: ActiveRun) -> None:
+        """Send a whole answer to its caller."""
+        self._counters.count(Count.REQUESTS_ANSWERED)
+        work = run.work
+        outcome = Outcome(
+            work.service_id,
+            work.caller,
+            work.request.request_id,
+            work.attempt,
+            ResultCode.OK,
+            run_id=run.run_id,
+            parts=run.whole(),
+        )
+        self._finish(work, outcome)
+
+    def refuse(
+        self,
+        work: Work,
+        code: ResultCode,
+        retry_after_ms: int = 0,
+    ) -> None:
+        """End a request without an answer."""
+        if is_not_run(code) and (work.has_run or work.is_shared):
+            code = ResultCode.OUTCOME_UNKNOWN
+        self._counters.refuse(code)
+        self._finish(work, _refusal(work, code, retry_after_ms))
+
+    def refuse_once(
+        self,
+        work: Work,
+        code: ResultCode,
+        retry_after_ms: int = 0,
+    ) -> None:
+        """Refuse one sending of a request without recording its id.
+
+        The code must not promise "not run", unless the log already holds it.
+        """
+        self._counters.refuse(code)
+        self._tell(work, _refusal(work, code, retry_after_ms))
+
+    def doubt(self) -> None:
+        """Note that another balancer may run the repeatable requests."""
+        for work in self.works.values():
+            if work.request.is_repeatable:
+                work.is_shared = True
+
+    def _finish(self, work: Work, outcome: Outcome) -> None:
+        self.works.pop(work.key, None)
+        log = self.logs.find_or_add(work.service_id, work.flow_key)
+        if log is not None and outcome.code is not ResultCode.OK:
+            log.note(outcome.request_id, outcome.code)
+        self._answers.put(work.flow_key, outcome)
+        self._tell(work, outcome)
+
+    def _tell(self, work: Work, outcome: Outcome) -> None:
+        self._actions.extend(outcome.to_actions(work.attempt))
+
+
+def _refusal(work: Work, code: ResultCode, retry_after_ms: int) -> Outcome:
+    return Outcome(
+        work.service_id,
+        work.caller,
+        work.request.request_id,
+        work.attempt,
+        code,
+        retry_after_ms,
+    )
--- /dev/null
+++ b/src/currantshore/internal/requestintake.py
@@ -0,0 +1,211 @@
+"""Decides what happens to a request that arrives at a balancer."""
+
+import dataclasses
+from typing import TypeAlias
+
+from currantshore import wire
+from currantshore.codes import ResultCode
+from currantshore.internal import peerwire
+from currantshore.internal.counters import Count, Counters
+from currantshore.internal.events import SendToPeer
+from currantshore.internal.exclusivity import Exclusivity
+from currantshore.internal.executor import Executor
+from currantshore.internal.requestlog import IdState
+from currantshore.internal.requestroutes import (
+    ExecutorRoutes,
+    RelayTo,
+    RunHere,
+)
+from currantshore.internal.runs import Work
+from currantshore.internal.succession import Succession
+from currantshore.internal.tokens import FlowToken
+
+RequestOrCancel: TypeAlias = wire.Request | wire.Cancel
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request or its cancellation, as it came in."""
+
+    work: Work
+    token: FlowToken
+    relay: peerwire.RelayedRequest
+    is_cancel: bool
+
+    @classmethod
+    def from_message(
+        cls,
+        message: RequestOrCancel,
+        token: FlowToken,
+        relay: peerwire.RelayedRequest,
+        flow_key: int,
+        now_s: float,
+    ) -> 'Arrival':
+        is_cancel = isinstance(message, wire.Cancel)
+        work = Work.from_request(
+            relay.service_id,
+            relay.caller,
+            flow_key,
+            token.backend_id,
+            _as_request(message),
+            now_s,
+        )
+        return cls(work, token, relay, is_cancel)
+
+
+class RequestIntake:
+    """Runs a request here, relays it, or refuses it.
+
+    A code that promises "not run" is only given to a fresh id, by the process
+    that may run it; every other path uses a code from 200.
+    """
+
+    __slots__ = (
+        '_counters',
+        '_exclusivity',
+        '_executor',
+        '_host_id',
+        '_peer_key',
+        '_routes',
+        '_succession',
+    )
+
+    def __init__(
+        self,
+        host_id: str,
+        peer_key: bytes,
+        counters: Counters,
+        executor: Executor,
+        routes: ExecutorRoutes,
+        exclusivity: Exclusivity,
+        succession: Succession,
+    ) -> None:
+        """Use the parts of one ``RequestPlane``."""
+        self._host_id = host_id
+        self._peer_key = peer_key
+        self._counters = counters
+        self._executor = executor
+        self._routes = routes
+        self._exclusivity = exclusivity
+        self._succession = succession
+
+    def handle(self, arrival: Arrival, now_s: float) -> None:
+        """Handle a request or its cancellation."""
+        match self._routes.route(arrival.token):
+            case RunHere():
+                self._handle_here(arrival, now_s)
+            case RelayTo(host_id) if self._may_relay(arrival, now_s):
+                self._relay(host_id, arrival.relay)
+            case _:
+                self._substitute(arrival, now_s)
+
+    def _may_relay(self, arrival: Arrival, now_s: float) -> bool:
+        # A datagram that waited here through a long pause may be older than
+        # the executor's log of its flow, which would then run it again.
+        if self._exclusivity.is_stale(now_s):
+            return False
+        return arrival.relay.hops_left > 0
+
+    def _handle_here(self, arrival: Arrival, now_s: float) -> None:
+        work = arrival.work
+        state = self._executor.state(work, arrival.token.first_request_id)
+        match state:
+            case IdState.TOO_OLD:
+                self._executor.outcomes.refuse_once(
+                    work,
+                    ResultCode.REQUEST_ID_TOO_OLD,
+                )
+            case IdState.SEEN:
+                self._handle_seen(arrival, now_s)
+            case IdState.FRESH:
+                self._handle_fresh(arrival, now_s)
+
+    def _handle_seen(self, arrival: Arrival, now_s: float) -> None:
+        work = arrival.work
+        if self._executor.is_in_progress(work) and arrival.is_cancel:
+            self._executor.cancel(work, now_s)
+            return
+        # The process that handed the id over may still run the request.
+        predecessor = self._routes.live_predecessor(arrival.token)
+        if self._executor.knows_outcome(work) or not predecessor:
+            self._executor.repeat(work)
+        elif self._may_relay(arrival, now_s):
+            self._relay(predecessor, arrival.relay)
+        else:
+            self._executor.repeat(work)
+
+    def _handle_fresh(self, arrival: Arrival, now_s: float) -> None:
+        if self._exclusivity.is_stale(now_s):
+            self._executor.outcomes.refuse_once(
+                arrival.work,
+                ResultCode.OUTCOME_UNKNOWN,
+            )
+        elif self._succession.is_leaving:
+            self._pass_on(arrival, now_s)
+        else:
+            self._take(arrival, now_s)
+
+    def _take(self, arrival: Arrival, now_s: float) -> None:
+        work = arrival.work
+        # A cancellation does not say whether its request is repeatable.
+        can_run_elsewhere = work.request.is_repeatable or arrival.is_cancel
+        if can_run_elsewhere and self._exclusivity.is_in_doubt(now_s):
+            work.is_shared = True
+        if arrival.is_cancel:
+            self._executor.refuse_fresh(work, ResultCode.CANCELLED_BEFORE_RUN)
+        else:
+            self._executor.submit(work, now_s)
+
+    def _pass_on(self, arrival: Arrival, now_s: float) -> None:
+        successor = self._succession.successor
+        can_relay = self._may_relay(arrival, now_s)
+        if successor and can_relay and self._routes.is_live(successor):
+            self._relay(successor, arrival.relay)
+        elif successor:
+            self._substitute(arrival, now_s)
+        else:
+            self._executor.refuse_fresh(
+                arrival.work,
+                ResultCode.BALANCER_LEAVING,
+            )
+
+    def _substitute(self, arrival: Arrival, now_s: float) -> None:
+        work = arrival.work
+        work.is_shared = True
+        state = self._executor.state(work, arrival.token.first_request_id)
+        if self._executor.is_in_progress(work):
+            self._handle_seen(arrival, now_s)
+        elif work.request.is_repeatable and state is IdState.FRESH:
+            self._executor.submit(work, now_s)
+        elif work.request.is_repeatable:
+            self._executor.repeat(work)
+        else:
+            self._executor.outcomes.refuse_once(work, ResultCode.EXECUTOR_LOST)
+
+    def _relay(self, host_id: str, relay: peerwire.RelayedRequest) -> None:
+        self._counters.count(Count.REQUESTS_RELAYED)
+        forwarded = peerwire.RelayedRequest(
+            self._host_id,
+            relay.service_id,
+            relay.caller,
+            relay.datagram,
+            relay.hops_left - 1,
+        )
+        sealed = peerwire.seal(forwarded, self._peer_key)
+        self._executor.outcomes.act(SendToPeer(host_id, sealed))
+
+
+def _as_request(message: RequestOrCancel) -> wire.Request:
+    match message:
+        case wire.Request():
+            return message
+        case wire.Cancel():
+            return wire.Request(
+                message.request_id,
+                -1,
+                '',
+                is_repeatable=False,
+                deadline_ms=0,
+                payload=b'',
+                token=b'',
+            )
--- a/src/currantshore/internal/requestlog.py
+++ b/src/currantshore/internal/requestlog.py
@@ -28,7 +28,7 @@
     outcome was not a refusal before the run.
     """
 
-    __slots__ = ('_codes', '_floor', 'touched_s')
+    __slots__ = ('_codes', '_floor')
 
     def __init__(
         self,
@@ -38,7 +38,6 @@
         """Start with every id below ``floor`` counted as used."""
         self._floor = floor
         self._codes = dict(codes or {})
-        self.touched_s = 0.0
 
     @property
     def floor(self) -> int:
--- /dev/null
+++ b/src/currantshore/internal/requestlogs.py
@@ -0,0 +1,78 @@
+"""The request logs of all flows of an executor, bounded in number and age."""
+
+from typing import Final, TypeAlias
+
+from currantshore.internal.requestlog import RequestLog
+
+# About 45 MB with the ids; a flood of new flows cannot take more.
+MAX_FLOWS: Final = 65536
+
+# A process that was paused has not read its sockets, so only time in which it
+# ran counts for the age of a log.
+_MAX_STEP_S: Final = 1.0
+
+DEFAULT_RETENTION_S: Final = 300.0
+
+_Logs: TypeAlias = dict[int, tuple[str, RequestLog]]
+
+
+class RequestLogs:
+    """Logs by flow key, in two generations.
+
+    A log is dropped after one to two retention times without a request. The
+    retention time is the flow idle timeout, within which callers re-send.
+    """
+
+    __slots__ = ('_age_s', '_current', '_last_s', '_previous', 'retention_s')
+
+    def __init__(self) -> None:
+        """Start without logs."""
+        self.retention_s = DEFAULT_RETENTION_S
+        self._current: _Logs = {}
+        self._previous: _Logs = {}
+        self._age_s = 0.0
+        self._last_s: float | None = None
+
+    def find(self, flow_key: int) -> RequestLog | None:
+        """Return the log of a flow and keep it for another retention time."""
+        held = self._current.get(flow_key)
+        if held is None:
+            held = self._previous.pop(flow_key, None)
+            if held is None:
+                return None
+            self._current[flow_key] = held
+        return held[1]
+
+    def find_or_add(
+        self,
+        service_id: str,
+        flow_key: int,
+    ) -> RequestLog | None:
+        """Return the log of a flow; ``None`` if there are too many flows."""
+        log = self.find(flow_key)
+        if log is None and not self._is_full():
+            log = RequestLog()
+            self._current[flow_key] = (service_id, log)
+        return log
+
+    def of_service(self, service_id: str) -> dict[int, RequestLog]:
+        """Return the logs of one service by flow key."""
+        held = {**self._previous, **self._current}
+        return {
+            flow_key: log
+            for flow_key, (owner, log) in held.items()
+            if owner == service_id
+        }
+
+    def advance(self, now_s: float) -> None:
+        """Drop the logs that are old enough."""
+        if self._last_s is not None:
+            self._age_s += min(max(now_s - self._last_s, 0), _MAX_STEP_S)
+        self._last_s = now_s
+        if self._age_s >= self.retention_s:
+            self._age_s = 0.0
+            self._previous = self._current
+            self._current = {}
+
+    def _is_full(self) -> bool:
+        return len(self._current) + len(self._previous) >= MAX_FLOWS
--- a/src/currantshore/internal/requestplane.py
+++ b/src/currantshore/internal/requestplane.py
@@ -4,28 +4,23 @@
 from typing import Final
 
 from currantshore import wire
-from currantshore.codes import DropReason, ResultCode
 from currantshore.internal import hashing, peerwire
+from currantshore.internal.capacity import AdmissionMode
 from currantshore.internal.counters import Count, Counters
-from currantshore.internal.events import (
-    Action,
-    RequestsHandedOver,
-    SendToPeer,
-)
+from currantshore.internal.events import Action, RequestsHandedOver
+from currantshore.internal.exclusivity import Exclusivity
 from currantshore.internal.executor import Executor
-from currantshore.internal.requestroutes import (
-    ExecutorLost,
-    ExecutorRoutes,
-    RelayTo,
-    RunHere,
+from currantshore.internal.requestintake import (
+    Arrival,
+    RequestIntake,
+    RequestOrCancel,
 )
-from currantshore.internal.runs import RunIds, Work
-from currantshore.internal.snapshot import PoolSnapshot
+from currantshore.internal.requestroutes import ExecutorRoutes
+from currantshore.internal.snapshot import HostState, PoolSnapshot
+from currantshore.internal.succession import Succession
 from currantshore.internal.tokens import FlowToken
 from currantshore.internal.views import BackendHealth, LiveView
 
-_MS_PER_S: Final = 1000
-
 # Executor, successor, and one more for a view that lags.
 _MAX_HOPS: Final = 3
 
@@ -35,26 +30,47 @@
 
     __slots__ = (
         '_counters',
+        '_exclusivity',
         '_executor',
         '_host_id',
-        '_peer_key',
+        '_hosts',
+        '_intake',
         '_routes',
+        '_services',
+        '_succession',
     )
 
     def __init__(
         self,
         host_id: str,
+        incarnation: int,
         counters: Counters,
         peer_key: bytes,
-        routes: ExecutorRoutes,
         executor: Executor,
     ) -> None:
         """Join the parts; ``from_config`` builds them."""
         self._host_id = host_id
         self._counters = counters
-        self._peer_key = peer_key
-        self._routes = routes
         self._executor = executor
+        self._routes = ExecutorRoutes(host_id, incarnation)
+        self._exclusivity = Exclusivity()
+        self._succession = Succession(
+            host_id,
+            incarnation,
+            self._routes,
+            executor.outcomes.logs,
+        )
+        self._intake = RequestIntake(
+            host_id,
+            peer_key,
+            counters,
+            executor,
+            self._routes,
+            self._exclusivity,
+            self._succession,
+        )
+        self._hosts: tuple[str, ...] = ()
+        self._services: tuple[str, ...] = ()
 
     @classmethod
     def from_config(
@@ -65,27 +81,42 @@
         peer_key: bytes,
         health: BackendHealth,
         rng: random.Random,
+        mode: AdmissionMode = AdmissionMode.WEIGHTED_SHARES,
     ) -> 'RequestPlane':
-        """Build the plane of the process (``host_id``, ``incarnation``)."""
-        return cls(
-            host_id,
-            counters,
-            peer_key,
-            ExecutorRoutes(host_id, incarnation),
-            Executor(counters, RunIds(host_id, incarnation)),
-        )
+        """Build the plane of the process (``host_id``, ``incarnation``).
+
+        ``mode`` is for measurements against baselines. ``rng`` is not used:
+        every choice is a hash, so that balancers agree.
+        """
+        executor = Executor(host_id, incarnation, counters, health, mode)
+        return cls(host_id, incarnation, counters, peer_key, executor)
+
+    @property
+    def successor(self) -> str:
+        """The host that got the request ids of this leaving one, or ''."""
+        return self._succession.successor
 
     def configure(self, pool: PoolSnapshot, now_s: float) -> list[Action]:
         """Use the services of a new configuration."""
-        self._executor.configure(
-            {service.service_id: service for service in pool.services},
+        self._at(now_s)
+        services = {each.service_id: each for each in pool.services}
+        self._services = tuple(sorted(services))
+        self._hosts = tuple(
+            host.host_id
+            for host in pool.members.hosts
+            if host.state is HostState.ACTIVE
         )
-        return self._executor.collect()
+        self._executor.configure(services, now_s)
+        return self._executor.outcomes.collect()
 
     def on_live_view(self, view: LiveView, now_s: float) -> list[Action]:
         """Use a new set of live balancers."""
+        self._at(now_s)
         self._routes.on_live_view(view)
-        return self._executor.collect()
+        if self._exclusivity.on_view(view, self._hosts, now_s):
+            self._executor.outcomes.doubt()
+        self._executor.on_live_view(view, now_s)
+        return self._executor.outcomes.collect()
 
     def on_request(
         self,
@@ -99,15 +130,11 @@
     ) -> list[Action]:
         """Run a caller's request, or relay it to its executor."""
         self._counters.count(Count.REQUESTS_RECEIVED)
-        work = _work(service_id, caller, flow_key, token, request, now_s)
-        relay = peerwire.RelayedRequest(
-            self._host_id,
-            service_id,
-            caller,
-            datagram,
-            _MAX_HOPS,
+        relay = self._first_relay(service_id, caller, datagram)
+        return self._arrive(
+            Arrival.from_message(request, token, relay, flow_key, now_s),
+            now_s,
         )
-        return self._handle_request(work, token, relay, now_s)
 
     def on_cancel(
         self,
@@ -120,43 +147,25 @@
         now_s: float,
     ) -> list[Action]:
         """Withdraw a request, or relay this to its executor."""
-        relay = peerwire.RelayedRequest(
-            self._host_id,
-            service_id,
-            caller,
-            datagram,
-            _MAX_HOPS,
+        relay = self._first_relay(service_id, caller, datagram)
+        return self._arrive(
+            Arrival.from_message(cancel, token, relay, flow_key, now_s),
+            now_s,
         )
-        return self._handle_cancel(flow_key, token, cancel, relay, now_s)
 
     def on_relayed(
         self,
         relayed: peerwire.RelayedRequest,
         token: FlowToken,
-        message: wire.Request | wire.Cancel,
+        message: RequestOrCancel,
         now_s: float,
     ) -> list[Action]:
         """Handle what a peer relayed; the core has opened the token."""
-        key = hashing.flow_key(relayed.service_id, relayed.caller)
-        match message:
-            case wire.Request():
-                work = _work(
-                    relayed.service_id,
-                    relayed.caller,
-                    key,
-                    token,
-                    message,
-                    now_s,
-                )
-                return self._handle_request(work, token, relayed, now_s)
-            case wire.Cancel():
-                return self._handle_cancel(
-                    key,
-                    token,
-                    message,
-                    relayed,
-                    now_s,
-                )
+        flow_key = hashing.flow_key(relayed.service_id, relayed.caller)
+        return self._arrive(
+            Arrival.from_message(message, token, relayed, flow_key, now_s),
+            now_s,
+        )
 
     def on_run_answer(
         self,
@@ -165,8 +174,9 @@
         now_s: float,
     ) -> list[Action]:
         """Handle one part of a run's result."""
-        self._executor.on_run_answer(source, answer)
-        return self._executor.collect()
+        self._at(now_s)
+        self._executor.on_run_answer(source, answer, now_s)
+        return self._executor.outcomes.collect()
 
     def on_run_shed(
         self,
@@ -175,8 +185,9 @@
         now_s: float,
     ) -> list[Action]:
         """Handle a backend server's refusal to start a run."""
-        self._executor.on_run_shed(source, shed)
-        return self._executor.collect()
+        self._at(now_s)
+        self._executor.on_run_shed(source, shed, now_s)
+        return self._executor.outcomes.collect()
 
     def demands(self) -> dict[str, int]:
         """Return the outstanding and queued requests of each service."""
@@ -188,94 +199,46 @@
         now_s: float,
     ) -> list[Action]:
         """Take over the request ids of a leaving executor."""
-        return self._executor.collect()
+        return self._succession.on_handed_over(handed_over)
 
     def leave(self, now_s: float) -> list[Action]:
         """Stop taking new requests and hand over the request ids."""
-        return self._executor.collect()
+        return self._succession.leave(self._services, now_s)
 
     def is_idle(self) -> bool:
         """Tell whether no request is in progress."""
-        return self._executor.is_idle()
+        return not self._executor.outcomes.works
 
     def tick(self, now_s: float) -> list[Action]:
         """Do what is due at ``now_s``."""
+        self._at(now_s)
+        self._executor.outcomes.logs.advance(now_s)
         self._executor.tick(now_s)
-        return self._executor.collect()
-
-    def _handle_request(
-        self,
-        work: Work,
-        token: FlowToken,
-        relay: peerwire.RelayedRequest,
-        now_s: float,
-    ) -> list[Action]:
-        match self._routes.route(token):
-            case RelayTo(host_id) if relay.hops_left > 0:
-                return [self._relay(host_id, relay)]
-            case RunHere():
-                self._executor.submit(work, token.first_request_id, now_s)
-            case _:
-                self._substitute(work, token, now_s)
-        return self._executor.collect()
-
-    def _substitute(self, work: Work, token: FlowToken, now_s: float) -> None:
-        if not work.request.is_repeatable:
-            self._executor.refuse_unlogged(work, ResultCode.EXECUTOR_LOST)
-            return
-        work.may_have_run = True
-        self._executor.submit(work, token.first_request_id, now_s)
+        return [
+            *self._executor.outcomes.collect(),
+            *self._succession.tick(now_s),
+        ]
 
-    def _handle_cancel(
-        self,
-        flow_key: int,
-        token: FlowToken,
-        cancel: wire.Cancel,
-        relay: peerwire.RelayedRequest,
-        now_s: float,
-    ) -> list[Action]:
-        match self._routes.route(token):
-            case RelayTo(host_id) if relay.hops_left > 0:
-                return [self._relay(host_id, relay)]
-            case ExecutorLost() | RunHere() | RelayTo():
-                if not self._executor.cancel(
-                    flow_key,
-                    relay.caller,
-                    cancel.request_id,
-                ):
-                    self._counters.drop(DropReason.REPLY_UNMATCHED)
-        return self._executor.collect()
+    def _at(self, now_s: float) -> None:
+        retention_s = self._executor.outcomes.logs.retention_s
+        if self._exclusivity.on_time(now_s, retention_s):
+            self._executor.outcomes.doubt()
 
-    def _relay(
+    def _first_relay(
         self,
-        host_id: str,
-        relay: peerwire.RelayedRequest,
-    ) -> SendToPeer:
-        self._counters.count(Count.REQUESTS_RELAYED)
-        forwarded = peerwire.RelayedRequest(
+        service_id: str,
+        caller: wire.Endpoint,
+        datagram: bytes,
+    ) -> peerwire.RelayedRequest:
+        return peerwire.RelayedRequest(
             self._host_id,
-            relay.service_id,
-            relay.caller,
-            relay.datagram,
-            relay.hops_left - 1,
+            service_id,
+            caller,
+            datagram,
+            _MAX_HOPS,
         )
-        return SendToPeer(host_id, peerwire.seal(forwarded, self._peer_key))
-
 
-def _work(
-    service_id: str,
-    caller: wire.Endpoint,
-    flow_key: int,
-    token: FlowToken,
-    request: wire.Request,
-    now_s: float,
-) -> Work:
-    return Work(
-        service_id,
-        caller,
-        flow_key,
-        request,
-        token.backend_id,
-        now_s + request.deadline_ms / _MS_PER_S,
-        request.attempt,
-    )
+    def _arrive(self, arrival: Arrival, now_s: float) -> list[Action]:
+        self._at(now_s)
+        self._intake.handle(arrival, now_s)
+        return self._executor.outcomes.collect()
--- a/src/currantshore/internal/requestroutes.py
+++ b/src/currantshore/internal/requestroutes.py
@@ -30,7 +30,7 @@
 
 Route: TypeAlias = RunHere | RelayTo | ExecutorLost
 
-_Process: TypeAlias = tuple[str, int]
+Process: TypeAlias = tuple[str, int]
 
 
 class ExecutorRoutes:
@@ -47,8 +47,8 @@
         """Start alone, as the process (``host_id``, ``incarnation``)."""
         self._self = (host_id, incarnation)
         self._view: LiveView | None = None
-        self._successors: OrderedDict[_Process, str] = OrderedDict()
-        self._adopted: set[tuple[str, _Process]] = set()
+        self._successors: OrderedDict[Process, str] = OrderedDict()
+        self._adopted: set[tuple[str, Process]] = set()
 
     @property
     def view(self) -> LiveView | None:
@@ -62,16 +62,27 @@
             if peer.successor:
                 self._remember((peer.host_id, peer.incarnation), peer.successor)
 
-    def adopt(self, service_id: str, process: _Process) -> None:
+    def adopt(self, service_id: str, process: Process) -> None:
         """Note that this process holds all request ids of ``process``."""
         self._adopted.add((service_id, process))
 
-    def adopted(self, service_id: str) -> list[_Process]:
+    def has_adopted(self, service_id: str, process: Process) -> bool:
+        """Tell whether the ids of ``process`` are held here."""
+        return (service_id, process) in self._adopted
+
+    def adopted(self, service_id: str) -> list[Process]:
         """Return the processes whose ids of a service are held here."""
         return sorted(
             process for held, process in self._adopted if held == service_id
         )
 
+    def live_predecessor(self, token: FlowToken) -> str:
+        """Return the live executor whose ids are held here too, or ''."""
+        process = (token.executor_id, token.executor_incarnation)
+        if process == self._self or not self._serves_itself(process):
+            return ''
+        return token.executor_id
+
     def is_live(self, host_id: str) -> bool:
         """Tell whether ``host_id`` is in the live view."""
         return self._view is not None and host_id in self._view.peers
@@ -81,14 +92,14 @@
         process = (token.executor_id, token.executor_incarnation)
         if process == self._self:
             return RunHere()
-        if (token.service_id, process) in self._adopted:
+        if self.has_adopted(token.service_id, process):
             return RunHere()
         successor = self._successors.get(process)
         if successor is not None and not self._serves_itself(process):
             return self._to_host(successor)
         return self._to_host(token.executor_id)
 
-    def _serves_itself(self, process: _Process) -> bool:
+    def _serves_itself(self, process: Process) -> bool:
         # A process that has named a successor still knows the requests that
         # it ran before, so it is asked for as long as it lives.
         if self._view is None:
@@ -101,7 +112,7 @@
             return RelayTo(host_id)
         return ExecutorLost()
 
-    def _remember(self, process: _Process, successor: str) -> None:
+    def _remember(self, process: Process, successor: str) -> None:
         self._successors[process] = successor
         self._successors.move_to_end(process)
         while len(self._successors) > MAX_SUCCESSORS:
--- a/src/currantshore/internal/runs.py
+++ b/src/currantshore/internal/runs.py
@@ -4,11 +4,15 @@
 from typing import Final, TypeAlias
 
 from currantshore.internal.hashing import stable_hash
-from currantshore.wire import Endpoint, Request, RunAnswer
+from currantshore.wire import Endpoint, Request, Run, RunAnswer, RunShed
 
 # The whole answer is held until its last part came; 1,024 parts are 1.4 MB.
 MAX_PARTS: Final = 1024
 
+# Longer deadlines are cut to this; a run order could not carry any integer.
+MAX_DEADLINE_S: Final = 86400.0
+
+_MS_PER_S: Final = 1000
 _RUN_ID_SHIFT: Final = 32
 _RUN_ID_PREFIX_MASK: Final = 0x7FFFFFFF
 
@@ -16,13 +20,16 @@
 RequestKey: TypeAlias = tuple[int, int]
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class Work:
     """A request from its arrival at the executor to its final outcome.
 
-    ``may_have_run`` is set as soon as a run was sent and not shed, or when
-    another balancer may have run the request; from then on the caller is
-    never told that it was not run.
+    ``has_run`` is set while a run is out and after a run that was not shed,
+    ``is_shared`` when another balancer may have run the request; with either,
+    the caller is never told that it was not run. ``run_id`` is that of the
+    run that is out, or 0; ``tried`` are the backend servers that shed the
+    request or did not answer it; ``charged_s`` is the slot time charged to
+    its class.
     """
 
     service_id: str
@@ -30,10 +37,13 @@
     flow_key: int
     request: Request
     backend_id: str
+    arrived_s: float
     deadline_s: float
     attempt: int
-    may_have_run: bool = False
+    has_run: bool = False
+    is_shared: bool = False
     tried: frozenset[str] = frozenset()
+    run_id: int = 0
     charged_s: float = 0
 
     @property
@@ -41,12 +51,36 @@
         """Identify the request among all flows of this executor."""
         return (self.flow_key, self.request.request_id)
 
-
-@dataclasses.dataclass(slots=True)
+    @classmethod
+    def from_request(
+        cls,
+        service_id: str,
+        caller: Endpoint,
+        flow_key: int,
+        backend_id: str,
+        request: Request,
+        now_s: float,
+    ) -> 'Work':
+        """Build the work of a request that arrived at ``now_s``."""
+        left_s = min(request.deadline_ms / _MS_PER_S, MAX_DEADLINE_S)
+        return cls(
+            service_id,
+            caller,
+            flow_key,
+            request,
+            backend_id,
+            now_s,
+            now_s + left_s,
+            request.attempt,
+        )
+
+
+@dataclasses.dataclass(slots=True, eq=False)
 class ActiveRun:
     """One order to run a request, sent to one backend server.
 
-    ``expires_s`` is when the executor gives up waiting for the whole answer.
+    ``expires_s`` is when the executor gives up waiting for the whole answer;
+    ``has_run_before`` is the work's ``has_run`` before this run was sent.
     """
 
     run_id: int
@@ -55,12 +89,41 @@
     target: Endpoint
     started_s: float
     expires_s: float
+    has_run_before: bool
+    unusable_since_s: float | None = None
     parts: dict[int, bytes] = dataclasses.field(default_factory=dict)
     part_count: int = 0
 
-    def accepts(self, source: Endpoint, service_id: str) -> bool:
-        """Tell whether a message from ``source`` can be about this run."""
-        return source == self.target and service_id == self.work.service_id
+    def is_answered_by(self, source: Endpoint, answer: RunAnswer) -> bool:
+        """Tell whether ``answer`` from ``source`` is about this run."""
+        return (
+            source == self.target
+            and answer.service_id == self.work.service_id
+            and answer.caller == self.work.caller
+        )
+
+    def is_shed_by(self, source: Endpoint, shed: RunShed) -> bool:
+        """Tell whether ``shed`` can be true: no part of an answer came."""
+        return (
+            source == self.target
+            and shed.service_id == self.work.service_id
+            and not self.parts
+        )
+
+    def to_order(self, now_s: float) -> Run:
+        """Return the order to the backend server."""
+        work = self.work
+        left_ms = int((work.deadline_s - now_s) * _MS_PER_S)
+        return Run(
+            work.service_id,
+            work.caller,
+            self.run_id,
+            work.request.request_id,
+            work.attempt,
+            work.request.priority_class,
+            max(left_ms, 1),
+            work.request.payload,
+        )
 
     def add_part(self, answer: RunAnswer) -> bool:
         """Keep one part; ``False`` if it is a copy or does not fit."""
--- /dev/null
+++ b/src/currantshore/internal/succession.py
@@ -0,0 +1,175 @@
+"""Hands request ids to a successor and takes over those of others."""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from typing import Final, TypeAlias
+
+from msgspec import structs
+
+from currantshore.errors import WireFormatError
+from currantshore.internal.events import (
+    Action,
+    HandOverRequests,
+    RequestsHandedOver,
+)
+from currantshore.internal.hashing import ranked
+from currantshore.internal.requesthandover import (
+    HandoverBody,
+    decode_body,
+    encode_body,
+    encode_bodies,
+    merge_flow,
+)
+from currantshore.internal.requestlogs import RequestLogs
+from currantshore.internal.requestroutes import ExecutorRoutes
+
+# The handover has no acknowledgement; its bodies are the same each time.
+_REPEAT_AFTER_S: Final = (1.0, 2.0)
+
+# Handovers that are still incomplete; older ones are dropped.
+_MAX_INCOMPLETE: Final = 256
+
+_HandoverKey: TypeAlias = tuple[str, str, int]
+_Repeat: TypeAlias = tuple[float, list[Action]]
+
+
+class Succession:
+    """The handover of request ids when a balancer leaves.
+
+    The leaving process keeps the requests whose ids it hands over and runs no
+    other id from then on; the successor runs the others. So each id has one
+    process that may run it, at every moment.
+    """
+
+    __slots__ = (
+        '_heir',
+        '_host_id',
+        '_incarnation',
+        '_logs',
+        '_repeats',
+        '_routes',
+        '_seen',
+        'is_leaving',
+        'successor',
+    )
+
+    def __init__(
+        self,
+        host_id: str,
+        incarnation: int,
+        routes: ExecutorRoutes,
+        logs: RequestLogs,
+    ) -> None:
+        """Serve the process (``host_id``, ``incarnation``)."""
+        self._host_id = host_id
+        self._incarnation = incarnation
+        self._routes = routes
+        self._logs = logs
+        self._repeats: list[_Repeat] = []
+        self._seen: OrderedDict[_HandoverKey, set[int]] = OrderedDict()
+        self._heir = 0
+        self.is_leaving = False
+        self.successor = ''
+
+    def leave(self, services: Iterable[str], now_s: float) -> list[Action]:
+        """Choose a successor and hand over the ids of all ``services``."""
+        if self.is_leaving:
+            return []
+        self.is_leaving = True
+        self.successor = self._choose()
+        if not self.successor:
+            return []
+        actions: list[Action] = []
+        for service_id in services:
+            actions.extend(self._hand_over(service_id))
+        self._repeats = [
+            (now_s + delay_s, actions) for delay_s in _REPEAT_AFTER_S
+        ]
+        return list(actions)
+
+    def tick(self, now_s: float) -> list[Action]:
+        """Repeat the handover when it is due."""
+        due = [actions for at_s, actions in self._repeats if at_s <= now_s]
+        self._repeats = [each for each in self._repeats if each[0] > now_s]
+        return [action for actions in due for action in actions]
+
+    def on_handed_over(self, handed_over: RequestsHandedOver) -> list[Action]:
+        """Keep the ids; serve the sender's tokens once all bodies came."""
+        try:
+            body = decode_body(handed_over.body)
+        except WireFormatError:
+            return []
+        if body.heir != self._incarnation:
+            return []
+        sender = (handed_over.sender, handed_over.sender_incarnation)
+        # A repeated body is older than what this process has run since.
+        if self._routes.has_adopted(handed_over.service_id, sender):
+            return []
+        if self._merge(handed_over.service_id, body):
+            self._note(handed_over, body)
+        return self._pass_on(handed_over.service_id, body)
+
+    def _pass_on(self, service_id: str, body: HandoverBody) -> list[Action]:
+        if not self.successor:
+            return []
+        passed_on = structs.replace(body, heir=self._heir)
+        return [
+            HandOverRequests(
+                self.successor,
+                service_id,
+                encode_body(passed_on),
+            ),
+        ]
+
+    def _choose(self) -> str:
+        view = self._routes.view
+        if view is None:
+            return ''
+        others = [host for host in view.owners() if host != self._host_id]
+        ordered = ranked(others, 'successor', self._host_id)
+        if not ordered:
+            return ''
+        self._heir = view.peers[ordered[0]].incarnation
+        return ordered[0]
+
+    def _hand_over(self, service_id: str) -> list[HandOverRequests]:
+        processes = [
+            (self._host_id, self._incarnation),
+            *self._routes.adopted(service_id),
+        ]
+        bodies = encode_bodies(
+            self._heir, processes, self._logs.of_service(service_id)
+        )
+        return [
+            HandOverRequests(self.successor, service_id, body)
+            for body in bodies
+        ]
+
+    def _merge(self, service_id: str, body: HandoverBody) -> bool:
+        for flow in body.flows:
+            log = self._logs.find_or_add(service_id, flow.flow_key)
+            # Without room for all ids, none of the sender's tokens may be
+            # served: an id that was dropped could run again.
+            if log is None:
+                return False
+            merge_flow(log, flow)
+        return True
+
+    def _note(
+        self,
+        handed_over: RequestsHandedOver,
+        body: HandoverBody,
+    ) -> None:
+        key = (
+            handed_over.service_id,
+            handed_over.sender,
+            handed_over.sender_incarnation,
+        )
+        indexes = self._seen.setdefault(key, set())
+        indexes.add(body.index)
+        if len(indexes) >= body.count:
+            self._seen.pop(key)
+            for process in body.processes:
+                self._routes.adopt(handed_over.service_id, process)
+        while len(self._seen) > _MAX_INCOMPLETE:
+            self._seen.popitem(last=False)
--- /dev/null
+++ b/tests/stateful/test_requests.py
@@ -0,0 +1,209 @@
+"""Request planes on a lossy link against a simple oracle."""
+
+import testtools
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from currantshore.codes import is_not_run
+from tests.stateful.request_world import (
+    BACKENDS,
+    CALLERS,
+    CLASSES,
+    HOSTS,
+    World,
+    sorted_bytes,
+    whole_answer,
+)
+
+settings.register_profile('ci', derandomize=True, deadline=None)
+settings.load_profile('ci')
+
+_hosts = st.sampled_from(HOSTS)
+_index = st.integers(0, 63)
+
+
+def check_runs(world):
+    """At most once, and "not run" is true."""
+    for key, sent in world.sent.items():
+        runs = world.runs[key]
+        refusers = world.not_run[key]
+        if sent.request.is_repeatable:
+            # Another balancer may run it after it took the executor for dead,
+            # so the promise is checked for each process, and for all of them
+            # while no view was incomplete and no process was paused.
+            if refusers and world.is_calm:
+                assert not runs, ('refused as not run', sent)
+            assert not set(refusers) & set(runs), ('ran where refused', sent)
+            continue
+        assert len(runs) <= 1, ('ran twice', sent)
+        assert not (runs and refusers), ('refused as not run', sent)
+
+
+def check_told(world):
+    """Answers are whole and the caller's own; outcomes do not contradict."""
+    for (caller, request_id), sent in world.sent.items():
+        told = set(sent.told)
+        expected = sorted_bytes(whole_answer(caller, request_id))
+        answers = {each for each in told if isinstance(each, bytes)}
+        assert {sorted_bytes(each) for each in answers} <= {expected}, sent
+        codes = told - answers
+        final = {code for code in codes if is_not_run(code)}
+        if not sent.request.is_repeatable:
+            assert len(final) + len(answers) <= 1, ('two outcomes', sent)
+        assert len(told) <= sent.sendings, ('more outcomes than sent', sent)
+
+
+def open_requests(world):
+    """Return the requests without any outcome yet."""
+    return [sent for sent in world.sent.values() if not sent.told]
+
+
+def _has_open_requests(machine):
+    return bool(open_requests(machine.world))
+
+
+def _has_link(machine):
+    return bool(machine.world.link)
+
+
+class RequestMachine(RuleBasedStateMachine):
+    """Faults in any order between any two steps of a request."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = World()
+
+    @rule(
+        caller=st.sampled_from(CALLERS),
+        host_id=_hosts,
+        is_repeatable=st.booleans(),
+        priority_class=st.sampled_from([each.name for each in CLASSES]),
+        deadline_ms=st.sampled_from([300, 2000, 8000]),
+    )
+    def send(self, caller, host_id, **fields):
+        self.world.send(caller, host_id, **fields)
+
+    @precondition(_has_open_requests)
+    @rule(index=_index, host_id=_hosts)
+    def resend(self, index, host_id):
+        waiting = open_requests(self.world)
+        self.world.resend(waiting[index % len(waiting)], host_id)
+
+    @precondition(_has_open_requests)
+    @rule(index=_index, host_id=_hosts)
+    def cancel(self, index, host_id):
+        waiting = open_requests(self.world)
+        self.world.cancel(waiting[index % len(waiting)], host_id)
+
+    @precondition(_has_link)
+    @rule(index=_index)
+    def deliver(self, index):
+        self.world.deliver(index)
+
+    @precondition(_has_link)
+    @rule(index=_index)
+    def duplicate(self, index):
+        self.world.duplicate(index)
+
+    @precondition(_has_link)
+    @rule(index=_index)
+    def drop(self, index):
+        self.world.drop(index)
+
+    @rule()
+    def settle(self):
+        self.world.settle()
+
+    @rule(step_s=st.sampled_from([0.1, 0.5, 2.5]))
+    def advance(self, step_s):
+        self.world.advance(step_s)
+
+    @rule(
+        backend=st.sampled_from(BACKENDS),
+        behaviour=st.sampled_from(['answer', 'shed', 'slow', 'lose']),
+    )
+    def behave(self, backend, behaviour):
+        self.world.behaviour[backend.backend_id] = behaviour
+
+    @rule(backend=st.sampled_from(BACKENDS))
+    def change_health(self, backend):
+        self.world.health.bad ^= {backend.backend_id}
+
+    @rule()
+    def release(self):
+        self.world.release()
+
+    @rule(host_id=_hosts, live=st.sets(_hosts))
+    def see(self, host_id, live):
+        self.world.see(host_id, live)
+
+    @rule()
+    def see_truth(self):
+        self.world.see_truth()
+
+    @rule(host_id=_hosts)
+    def restart(self, host_id):
+        self.world.restart(host_id)
+
+    @rule(host_id=_hosts)
+    def freeze_or_resume(self, host_id):
+        host = self.world.hosts[host_id]
+        host.is_frozen = not host.is_frozen
+        self.world.is_calm = False
+
+    @rule(host_id=_hosts)
+    def leave(self, host_id):
+        if not self.world.hosts[host_id].is_frozen:
+            self.world.leave(host_id)
+
+    @rule(caller=st.sampled_from(CALLERS), host_id=_hosts)
+    def open(self, caller, host_id):
+        self.world.open(caller, host_id)
+
+    @invariant()
+    def runs_and_refusals_agree(self):
+        check_runs(self.world)
+        check_told(self.world)
+
+    def teardown(self):
+        """After the faults, every request gets its outcome at once."""
+        world = self.world
+        world.health.bad.clear()
+        world.behaviour = dict.fromkeys(world.behaviour, 'answer')
+        for host in world.hosts.values():
+            host.is_frozen = False
+        world.see_truth()
+        for _ in range(12):
+            world.settle()
+            world.release()
+            world.advance(1.0)
+        for sent in open_requests(self.world):
+            world.resend(sent, 'h1')
+        world.settle()
+        world.advance(4.0)
+        world.settle()
+        check_runs(world)
+        check_told(world)
+        assert not open_requests(self.world)
+        for host in world.hosts.values():
+            assert host.plane.is_idle()
+
+
+class RequestFuzzTests(testtools.TestCase):
+    """Guards against repeated runs and false refusals under any faults."""
+
+    def test_no_fault_order_breaks_a_promise(self):
+        machine = RequestMachine.TestCase()
+        machine.settings = settings(
+            max_examples=60,
+            stateful_step_count=40,
+            deadline=None,
+            derandomize=True,
+        )
+        machine.runTest()
