--- a/src/currantshore/internal/faults.py
+++ b/src/currantshore/internal/faults.py
@@ -7,7 +7,15 @@
 import enum
 import types
 from collections.abc import Iterator
-from typing import Any, Final, TypeAlias, TypeVar, get_args, get_origin
+from typing import (
+    Annotated,
+    Any,
+    Final,
+    TypeAlias,
+    TypeVar,
+    get_args,
+    get_origin,
+)
 
 import msgspec
 
@@ -91,6 +99,8 @@
     for note in getattr(kind, '__metadata__', ()):
         if isinstance(note, msgspec.Meta) and note.description:
             return note.description
+    if get_origin(kind) is Annotated:
+        return describe_type(kind.__origin__)
     if isinstance(kind, types.UnionType):
         return describe_type(get_args(kind)[0])
     if isinstance(kind, type) and issubclass(kind, enum.Enum):
@@ -108,8 +118,8 @@
     faults: Faults,
     path: str,
 ) -> object:
-    row_kind = _row_kind(kind)
-    if row_kind is None or not isinstance(given, list):
+    nested = row_kind(kind)
+    if nested is None or not isinstance(given, list):
         try:
             return msgspec.convert(given, kind)
         except msgspec.ValidationError:
@@ -120,14 +130,15 @@
         row_path = f'{path}[{index}]'
         if isinstance(row, dict):
             converted.append(
-                convert_table(row, row_kind, file, faults, f'{row_path}.')
+                convert_table(row, nested, file, faults, f'{row_path}.')
             )
         else:
             faults.add(file, row_path, row, 'a table')
     return tuple(converted)
 
 
-def _row_kind(kind: Any) -> type[msgspec.Struct] | None:
+def row_kind(kind: Any) -> type[msgspec.Struct] | None:
+    """Return the record of a list of records, or None for other fields."""
     plain = getattr(kind, '__origin__', kind)
     arguments = get_args(kind)
     if get_origin(plain) is tuple:
--- /dev/null
+++ b/src/currantshore/internal/tomltext.py
@@ -0,0 +1,82 @@
+"""Writing of TOML text; the same values always give the same bytes."""
+
+import json
+import textwrap
+from collections.abc import Sequence
+from typing import Final, TypeAlias
+
+from currantshore.internal.faults import Table
+
+TomlValue: TypeAlias = str | int | float | bool | Sequence[str]
+
+_LINE_WIDTH: Final = 78
+
+
+class TomlText:
+    """Lines of one TOML file."""
+
+    __slots__ = ('_lines',)
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._lines: list[str] = []
+
+    def comment(self, text: str) -> None:
+        """Add a comment, wrapped to the line width."""
+        self._lines.extend(
+            textwrap.wrap(
+                text,
+                _LINE_WIDTH,
+                initial_indent='# ',
+                subsequent_indent='# ',
+                break_on_hyphens=False,
+            )
+        )
+
+    def blank(self) -> None:
+        """Add an empty line."""
+        self._lines.append('')
+
+    def row(self, name: str) -> None:
+        """Begin a table of the array ``name``."""
+        self._lines.extend(('', f'[[{name}]]'))
+
+    def value(self, name: str, given: TomlValue) -> None:
+        """Add ``name = given``."""
+        self._lines.append(f'{name} = {_render(given)}')
+
+    def table(self, table: Table, path: str = '') -> None:
+        """Add all values of ``table``, rows after plain values."""
+        nested = {
+            name: given
+            for name, given in table.items()
+            if isinstance(given, list) and _has_tables(given)
+        }
+        for name, given in table.items():
+            if name not in nested and given is not None:
+                self.value(name, given)
+        for name, table_rows in nested.items():
+            for one in table_rows:
+                self.row(f'{path}{name}')
+                self.table(one, f'{path}{name}.')
+
+    def encode(self) -> bytes:
+        """Return the file's bytes."""
+        text = '\n'.join(self._lines)
+        return f'{text}\n'.encode()
+
+
+def _has_tables(given: Sequence[object]) -> bool:
+    return any(isinstance(one, dict) for one in given)
+
+
+def _render(given: TomlValue) -> str:
+    match given:
+        case bool():
+            return 'true' if given else 'false'
+        case str():
+            # A TOML basic string takes the escapes that JSON writes.
+            return json.dumps(given, ensure_ascii=False)
+        case int() | float():
+            return repr(given)
+    return f'[{", ".join(_render(one) for one in given)}]'
