Join the request plane's successor to the heartbeats; stop held calls

Cause: a leaving executor's successor was never announced; a contract test took 60 s because the platform stand-in waited for a call that it held back; an executor without the service said a code that no longer exists. Ruled out: a shorter delay in the test, which would not show that stopping the stand-in ends held calls. Change: the core passes the successor on each tick; the stand-in ends held calls when it stops; such an executor says NO_BACKEND_SERVER, which is true there; relayed bytes are counted apart from control bytes.

--- a/src/currantshore/core.py
+++ b/src/currantshore/core.py
@@ -20,14 +20,11 @@
     ConfigurationChanged,
     Event,
     FlowsHandedOver,
-    HandOverFlows,
-    HandOverRequests,
     HandoverFinished,
     LeaveRequested,
     PeerDatagram,
     RequestsHandedOver,
     SendToCaller,
-    SendToPeer,
 )
 from currantshore.internal.flowplane import FlowPlane
 from currantshore.internal.hashing import flow_key
@@ -200,6 +197,7 @@
         """Run everything that is due; call it at least every 50 ms."""
         self.membership.set_demands(self.requests.demands())
         self.membership.set_prepared(self.flows.is_prepared())
+        self.membership.set_successor(self.requests.successor)
         actions = self.membership.tick(now_s)
         actions += self.health.tick(now_s)
         actions += self.flows.tick(now_s)
@@ -427,21 +425,4 @@
             actions += self.health.on_live_view(view, now_s)
             actions += self.flows.on_live_view(view, now_s)
             actions += self.requests.on_live_view(view, now_s)
-        self._count_control(actions)
         return actions
-
-    def _count_control(self, actions: _Actions) -> None:
-        size_bytes = sum(map(_control_size_bytes, actions))
-        self.counters.count(Count.CONTROL_SENT_BYTES, size_bytes)
-
-
-def _control_size_bytes(action: Action) -> int:
-    match action:
-        case SendToPeer():
-            return len(action.payload)
-        case HandOverFlows():
-            return sum(map(len, action.flows.values()))
-        case HandOverRequests():
-            return len(action.body)
-        case _:
-            return 0
--- a/src/currantshore/internal/counters.py
+++ b/src/currantshore/internal/counters.py
@@ -25,6 +25,7 @@
     REQUESTS_DUPLICATE = 'requests_duplicate'
     REQUESTS_CANCELLED = 'requests_cancelled'
     CONTROL_SENT_BYTES = 'control_sent_bytes'
+    RELAY_SENT_BYTES = 'relay_sent_bytes'
     CONFIGURATION_CHANGES = 'configuration_changes'
     PREPARE_TIMEOUTS = 'prepare_timeouts'
     SELF_SUSPICIONS = 'self_suspicions'
--- a/src/currantshore/internal/executor.py
+++ b/src/currantshore/internal/executor.py
@@ -98,7 +98,9 @@
             return
         runner = self._runners.get(work.service_id)
         if runner is None:
-            self._outcomes.refuse(work, ResultCode.NOT_READY, _RETRY_AFTER_MS)
+            self._outcomes.refuse(
+                work, ResultCode.NO_BACKEND_SERVER, _RETRY_AFTER_MS
+            )
         elif len(work.request.payload) > wire.MAX_PAYLOAD_SIZE_BYTES:
             self._outcomes.refuse(work, ResultCode.PAYLOAD_TOO_LARGE)
         else:
--- a/src/currantshore/internal/requestintake.py
+++ b/src/currantshore/internal/requestintake.py
@@ -192,6 +192,7 @@
             relay.hops_left - 1,
         )
         sealed = peerwire.seal(forwarded, self._peer_key)
+        self._counters.count(Count.RELAY_SENT_BYTES, len(sealed))
         self._executor.outcomes.act(SendToPeer(host_id, sealed))
 
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -162,6 +162,7 @@
 
     __slots__ = (
         '_runner',
+        '_stopping',
         'calls',
         'hosts',
         'lose_answers',
@@ -184,6 +185,7 @@
         self.lose_writes = 0
         self.waiting = 0
         self.port = 0
+        self._stopping = asyncio.Event()
         self._runner: web.AppRunner | None = None
 
     @property
@@ -218,6 +220,7 @@
 
     async def stop(self) -> None:
         """Stop listening and drop the connections."""
+        self._stopping.set()
         if self._runner is not None:
             await self._runner.cleanup()
 
@@ -240,7 +243,11 @@
     ) -> web.StreamResponse:
         self.calls[kind] += 1
         if self.slow_ms:
-            await asyncio.sleep(self.slow_ms / 1000)
+            # A call that is still held back must not outlive the server.
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(
+                    self._stopping.wait(), self.slow_ms / 1000
+                )
         if self.outage:
             return _drop(request)
         return await handler(request)
