--- a/src/currantshore/internal/backends.py
+++ b/src/currantshore/internal/backends.py
@@ -4,6 +4,10 @@
 table stays valid when backend servers come and go.
 """
 
+from typing import Final
+
+import msgspec
+
 from currantshore.internal.placement import NO_SLOT, PlacementTable
 from currantshore.internal.snapshot import (
     BackendServer,
@@ -13,17 +17,29 @@
 from currantshore.internal.views import BackendHealth
 from currantshore.wire import Endpoint
 
+# Keeps the load finite for a backend server whose slow start has just begun.
+_MIN_WEIGHT_RATIO: Final = 0.01
+
 
 class BackendSlots:
     """Numbers backend servers and tells which of them can carry flows."""
 
-    __slots__ = ('_health', '_numbers', '_servers', 'accepting')
+    __slots__ = (
+        '_addresses',
+        '_health',
+        '_names',
+        '_numbers',
+        '_servers',
+        'accepting',
+    )
 
     def __init__(self, health: BackendHealth) -> None:
         """Start without backend servers."""
         self._health = health
+        self._addresses: dict[Endpoint, int] = {}
+        self._names: list[str] = []
         self._numbers: dict[str, int] = {}
-        self._servers: list[BackendServer] = []
+        self._servers: list[BackendServer | None] = []
         self.accepting: list[int] = []
 
     def configure(self, service: ServiceSnapshot) -> None:
@@ -31,13 +47,19 @@
         declared = {server.backend_id for server in service.backend_servers}
         for backend_id, number in self._numbers.items():
             if backend_id not in declared:
-                self._servers[number] = _removed(self._servers[number])
+                self._remove(number)
         for backend in service.backend_servers:
             self._store(backend)
         self.accepting = [
             self._numbers[server.backend_id]
             for server in service.takes_new_flows()
         ]
+        # A removed server's address may have gone to another service.
+        self._addresses = {
+            server.endpoint: self._numbers[server.backend_id]
+            for server in service.backend_servers
+            if server.state is not BackendState.REMOVED
+        }
 
     def table(self, bucket_count: int) -> PlacementTable:
         """Build the bucket table of the backend servers that accept flows."""
@@ -50,13 +72,26 @@
         """Return the slot of a backend server, or ``NO_SLOT``."""
         return self._numbers.get(backend_id, NO_SLOT)
 
+    def reserve(self, backend_id: str) -> int:
+        """Return a slot for a backend server that a peer has named.
+
+        It may be of a newer configuration than the one held here; until that
+        one arrives, the slot has no address.
+        """
+        number = self._numbers.setdefault(backend_id, len(self._servers))
+        if number == len(self._servers):
+            self._servers.append(None)
+            self._names.append(backend_id)
+        return number
+
     def name(self, slot: int) -> str:
         """Return the backend id of a slot."""
-        return self._servers[slot].backend_id
+        return self._names[slot]
 
-    def endpoint(self, slot: int) -> Endpoint:
-        """Return the address of a slot."""
-        return self._servers[slot].endpoint
+    def endpoint(self, slot: int) -> Endpoint | None:
+        """Return the address of a slot, if it is known."""
+        server = self._servers[slot]
+        return None if server is None else server.endpoint
 
     def has_endpoint(self, endpoint: Endpoint) -> bool:
         """Tell whether a backend server of this service has this address."""
@@ -64,40 +99,37 @@
 
     def slot_at(self, endpoint: Endpoint) -> int:
         """Return the slot of an address, or ``NO_SLOT``."""
-        for slot, server in enumerate(self._servers):
-            if server.endpoint == endpoint:
-                return slot
-        return NO_SLOT
+        return self._addresses.get(endpoint, NO_SLOT)
 
     def is_usable(self, slot: int) -> bool:
         """Tell whether packets may go to a slot."""
         if slot == NO_SLOT:
             return False
         server = self._servers[slot]
-        if server.state is BackendState.REMOVED:
+        if server is None or server.state is BackendState.REMOVED:
             return False
         return self._health.is_usable(server.backend_id)
 
+    def is_undeclared(self, slot: int) -> bool:
+        """Tell whether only peers know this backend server so far."""
+        return self._servers[slot] is None
+
+    def weighted_load(self, slot: int, flow_count: int) -> float:
+        """Return a load in which a server in its slow start counts more."""
+        weight = self._health.weight_ratio(self.name(slot))
+        return (flow_count + 1) / max(weight, _MIN_WEIGHT_RATIO)
+
     def usable_accepting(self) -> list[int]:
         """Return the slots that new flows may go to."""
         return [slot for slot in self.accepting if self.is_usable(slot)]
 
     def _store(self, backend: BackendServer) -> None:
-        number = self._numbers.setdefault(
-            backend.backend_id,
-            len(self._servers),
-        )
-        if number == len(self._servers):
-            self._servers.append(backend)
-        else:
-            self._servers[number] = backend
-
-
-def _removed(server: BackendServer) -> BackendServer:
-    return BackendServer(
-        backend_id=server.backend_id,
-        zone=server.zone,
-        endpoint=server.endpoint,
-        slot_count=server.slot_count,
-        state=BackendState.REMOVED,
-    )
+        self._servers[self.reserve(backend.backend_id)] = backend
+
+    def _remove(self, number: int) -> None:
+        server = self._servers[number]
+        if server is not None:
+            self._servers[number] = msgspec.structs.replace(
+                server,
+                state=BackendState.REMOVED,
+            )
--- /dev/null
+++ b/src/currantshore/internal/change.py
@@ -0,0 +1,212 @@
+"""The placement of one service while it changes.
+
+A change is prepared (unknown flows of moved buckets go through their owner,
+which places them by the former table), committed (owners place them by the
+new table) and settled (every balancer has the exceptions of every owner, so
+nobody needs to ask).
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+import numpy as np
+
+from currantshore.internal.peers import Peers
+from currantshore.internal.placement import Mask, PlacementTable
+from currantshore.internal.snapshot import ServiceSnapshot
+
+# Live views of two balancers differ by up to two heartbeat intervals. A second
+# owner sends the exceptions of a first owner that is gone when it sees that.
+_OWNER_CHANGE_HOLD_S: Final = 1.0
+
+# The version of a service of which nothing was committed yet.
+NO_VERSION: Final = -1
+
+
+class PlacementChange:
+    """Former and new table, moved buckets and the state of the change.
+
+    ``moved`` is None when every bucket can be placed without its owner.
+    ``base`` is None when the former table is not known, as after a start.
+    """
+
+    __slots__ = (
+        '_committed_at_s',
+        '_hold_until_s',
+        '_idle_timeout_s',
+        '_prepare_timeout_s',
+        '_prepared_at_s',
+        '_settled_versions',
+        '_started_at_s',
+        '_updates',
+        '_version',
+        'base',
+        'committed_version',
+        'is_committed',
+        'is_doubtful',
+        'is_forced',
+        'is_warm',
+        'moved',
+        'table',
+    )
+
+    def __init__(
+        self,
+        service: ServiceSnapshot,
+        table: PlacementTable,
+        is_known_by_peers: bool,
+        now_s: float,
+    ) -> None:
+        """Start with the first table of a service.
+
+        ``is_known_by_peers`` tells whether other balancers may already hold
+        flows of this service.
+        """
+        self._settled_versions: dict[str, int] = {}
+        self._started_at_s = now_s
+        self._hold_until_s = now_s
+        self._updates = 0
+        self.table = table
+        self.base: PlacementTable | None = None
+        self.moved = _all_of(table) if is_known_by_peers else None
+        self.is_committed = not is_known_by_peers
+        self.is_warm = not is_known_by_peers
+        # Whether peers may hold flows that neither table explains.
+        self.is_doubtful = is_known_by_peers
+        self.is_forced = False
+        self.committed_version = NO_VERSION
+        self._adopt(service, 0, now_s)
+
+    def start(
+        self,
+        service: ServiceSnapshot,
+        table: PlacementTable,
+        peers: Peers,
+        now_s: float,
+    ) -> None:
+        """Prepare the change to ``table``.
+
+        A balancer that is behind its peers may have missed tables between the
+        two, so all buckets count as moved.
+        """
+        if self.is_committed:
+            self.base = self.table
+            self.is_doubtful = self.moved is not None
+        moved = _difference(self.table, table)
+        if self.base is not None:
+            moved = moved | _difference(self.base, table)
+        if self.moved is not None and len(self.moved) == len(moved):
+            moved = moved | self.moved
+        if peers.is_behind or peers.is_frozen(now_s):
+            moved = _all_of(table)
+        self.table = table
+        self.moved = moved if moved.any() else None
+        self.is_committed = self.moved is None
+        self.is_forced = False
+        self._adopt(service, peers.updates, now_s)
+
+    def table_for_unknown(self) -> PlacementTable | None:
+        """Return the table by which an owner places unknown flows."""
+        return self.table if self.is_committed else self.base
+
+    def is_trusted(self, flow_key: int) -> bool:
+        """Tell whether a flow can be placed without asking its owner."""
+        if self.moved is None:
+            return True
+        return not self.moved[flow_key & (self.table.bucket_count - 1)]
+
+    def commit_if_ready(
+        self,
+        peers: Peers,
+        is_blocked: bool,
+        now_s: float,
+    ) -> bool:
+        """Commit when all peers have prepared, or after the timeout.
+
+        Only a live view that came after the change shows what the peers have
+        prepared of it. A balancer that has just started and sees nobody waits
+        for the timeout, because it may not have heard of its peers yet.
+        """
+        if self.is_committed:
+            return False
+        is_seen = peers.updates > self._updates and not peers.unprepared
+        is_lonely = (
+            self.base is None and peers.has_declared and not peers.others
+        )
+        is_ready = is_seen and not is_blocked and not is_lonely
+        is_late = now_s >= self._prepared_at_s + self._prepare_timeout_s
+        if not (is_ready or is_late):
+            return False
+        self._commit(now_s)
+        self.is_forced = not is_ready
+        return True
+
+    def note_owner_change(self, now_s: float) -> None:
+        """Wait for the exceptions that new owners have taken over."""
+        self.is_doubtful = True
+        self._hold_until_s = now_s + _OWNER_CHANGE_HOLD_S
+
+    def note_settled(self, host: str, version: int) -> None:
+        """Note that ``host`` has sent the exceptions of a version."""
+        held = self._settled_versions.get(host, NO_VERSION)
+        self._settled_versions[host] = max(held, version)
+
+    def settle_if_complete(self, others: Iterable[str], now_s: float) -> None:
+        """Trust the new table once every owner has sent its exceptions.
+
+        Flows that nobody told of for an idle timeout have ended.
+        """
+        self._warm_up(others, now_s)
+        if not self.is_committed or self.moved is None:
+            return
+        is_old = now_s >= self._committed_at_s + self._idle_timeout_s
+        is_told = self._have_settled(others, self._version)
+        if is_old or (is_told and now_s >= self._hold_until_s):
+            self.moved = None
+            self.base = None
+            self.is_warm = True
+            self.is_forced = False
+            self.is_doubtful = False
+
+    def _warm_up(self, others: Iterable[str], now_s: float) -> None:
+        """Answer lookups once every peer has told of its exceptions."""
+        if self.is_warm:
+            return
+        is_old = now_s >= self._started_at_s + self._prepare_timeout_s
+        hosts = tuple(others)
+        is_told = bool(hosts) and self._have_settled(hosts, NO_VERSION + 1)
+        self.is_warm = is_old or is_told
+
+    def _have_settled(self, others: Iterable[str], version: int) -> bool:
+        versions: Mapping[str, int] = self._settled_versions
+        return all(versions.get(host, NO_VERSION) >= version for host in others)
+
+    def _adopt(
+        self,
+        service: ServiceSnapshot,
+        updates: int,
+        now_s: float,
+    ) -> None:
+        self._version = service.version
+        self._idle_timeout_s = service.flow_idle_timeout_s
+        self._prepare_timeout_s = service.prepare_timeout_s
+        self._prepared_at_s = now_s
+        self._updates = updates
+        if self.is_committed:
+            self._commit(now_s)
+
+    def _commit(self, now_s: float) -> None:
+        self.is_committed = True
+        self._committed_at_s = now_s
+        self.committed_version = self._version
+
+
+def _all_of(table: PlacementTable) -> Mask:
+    return np.ones(table.bucket_count, np.bool_)
+
+
+def _difference(one: PlacementTable, other: PlacementTable) -> Mask:
+    """Return the buckets that differ; all of them after a change of count."""
+    if one.bucket_count == other.bucket_count:
+        return one.moved_to(other)
+    return _all_of(other)
--- a/src/currantshore/internal/events.py
+++ b/src/currantshore/internal/events.py
@@ -41,14 +41,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FlowsHandedOver:
-    """Exceptions that a peer handed to this balancer as an owner.
+    """Exceptions that a peer handed to this balancer.
 
-    ``flows`` maps a backend id to packed 5-byte flow fingerprints.
+    ``flows`` maps a backend id to packed 5-byte flow fingerprints. A
+    ``settled_version`` of 0 or more says that the sender, as an owner, has
+    committed this version of the service and sent all exceptions it owns.
     """
 
     sender: str
     service_id: str
     flows: Mapping[str, bytes]
+    settled_version: int = -1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,12 +118,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HandOverFlows:
-    """Hand exceptions to an owner and report a ``HandoverFinished``."""
+    """Hand exceptions to a peer and report a ``HandoverFinished``.
+
+    The peer gets ``flows`` and ``settled_version`` as ``FlowsHandedOver``.
+    """
 
     host_id: str
     service_id: str
     handover_id: int
     flows: Mapping[str, bytes]
+    settled_version: int = -1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/currantshore/internal/flowplane.py
+++ b/src/currantshore/internal/flowplane.py
@@ -2,19 +2,21 @@
 
 import random
 
-from currantshore.codes import DropReason, ResultCode
+from currantshore.codes import DropReason, ResultCode, RetryReason
 from currantshore.internal.counters import Count, Counters
 from currantshore.internal.events import (
     Action,
     FlowsHandedOver,
     HandoverFinished,
-    SendToBackend,
     SendToCaller,
 )
-from currantshore.internal.flowtable import is_framed
+from currantshore.internal.flowtable import entry_of, is_framed, slot_of
+from currantshore.internal.handovers import HandoverLedger
 from currantshore.internal.hashing import flow_key as key_of
+from currantshore.internal.peers import Peers
 from currantshore.internal.peerwire import Lookup, LookupReply
 from currantshore.internal.placement import NO_SLOT
+from currantshore.internal.sharing import PlaneContext
 from currantshore.internal.snapshot import PoolSnapshot
 from currantshore.internal.tokens import FlowToken, TokenSealer
 from currantshore.internal.tracking import ServiceFlows
@@ -23,9 +25,7 @@
     Data,
     Downstream,
     Endpoint,
-    Forwarded,
     Opened,
-    Refusal,
     encode,
 )
 
@@ -35,17 +35,19 @@
 # Without a usable backend server, callers try again after this time.
 _NO_BACKEND_RETRY_MS = 1000
 
+# Peers send their exceptions when they see this host, which may be a moment
+# before its first configuration.
+_EARLY_HANDOVERS_LIMIT = 1024
+
 
 class FlowPlane:
     """Places flows on backend servers and keeps them there."""
 
     __slots__ = (
-        '_counters',
-        '_health',
-        '_host_id',
+        '_context',
+        '_early',
         '_incarnation',
-        '_peer_key',
-        '_rng',
+        '_peers',
         '_sealer',
         '_services',
     )
@@ -61,14 +63,21 @@
         rng: random.Random,
     ) -> None:
         """Use ``from_config``."""
-        self._host_id = host_id
-        self._counters = counters
-        self._sealer = sealer
-        self._peer_key = peer_key
         self._incarnation = incarnation
-        self._health = health
-        self._rng = rng
+        self._sealer = sealer
+        self._peers = Peers(host_id)
+        self._context = PlaneContext(
+            host_id,
+            peer_key,
+            counters,
+            self._peers,
+            HandoverLedger(),
+            health,
+            rng,
+        )
         self._services: dict[str, ServiceFlows] = {}
+        # Handovers of services that this balancer does not know yet.
+        self._early: list[FlowsHandedOver] = []
 
     @classmethod
     def from_config(
@@ -93,23 +102,44 @@
         )
 
     def configure(self, pool: PoolSnapshot, now_s: float) -> list[Action]:
-        """Take over newer configuration."""
+        """Take over newer configuration and prepare its changes.
+
+        The next ``on_live_view`` must carry the digest of ``pool``.
+        """
+        is_start = not self._services
+        self._peers.has_declared = any(
+            host.host_id != self._context.host_id for host in pool.members.hosts
+        )
+        is_known_by_peers = self._peers.is_behind or (
+            is_start and self._peers.has_declared
+        )
+        actions: list[Action] = []
         for service in pool.services:
             flows = self._services.get(service.service_id)
-            if flows is None:
-                self._services[service.service_id] = ServiceFlows(
-                    service,
-                    self._health,
-                    self._rng,
-                    now_s,
-                )
-            else:
-                flows.configure(service)
-        return []
+            if flows is not None:
+                actions.extend(flows.configure(service, now_s))
+                continue
+            self._services[service.service_id] = ServiceFlows(
+                service,
+                self._context,
+                is_known_by_peers,
+                now_s,
+            )
+        self._receive_early()
+        return actions
 
     def on_live_view(self, view: LiveView, now_s: float) -> list[Action]:
-        """Take over the live balancers of the pool."""
-        return []
+        """Take over the live balancers and what they have prepared."""
+        change = self._peers.update(view, now_s)
+        actions: list[Action] = []
+        if change.is_empty():
+            return actions
+        for handover in self._context.ledger.cancel(change.gone()):
+            flows = self._services[handover.service_id]
+            flows.placer.sharing.take_back(handover)
+        for flows in self._services.values():
+            actions.extend(flows.on_peer_change(change, now_s))
+        return actions
 
     def on_open(
         self,
@@ -123,23 +153,19 @@
         flows = self._services.get(service_id)
         if flows is None:
             return self._drop(DropReason.UNKNOWN_SERVICE)
-        slot = flows.known_slot(flow_key)
-        if not flows.backends.is_usable(slot):
-            slot = flows.least_loaded()
+        placer = flows.placer
+        slot = placer.find(flow_key)
+        if not placer.backends.is_usable(slot):
+            slot = placer.least_loaded()
         if slot == NO_SLOT:
-            self._counters.refuse(ResultCode.NO_BACKEND_SERVER)
-            refusal = Refusal(
-                0,
-                ResultCode.NO_BACKEND_SERVER,
-                _NO_BACKEND_RETRY_MS,
-            )
-            return [SendToCaller(service_id, caller, encode(refusal))]
-        flows.remember(flow_key, slot, is_framed=True)
-        self._counters.count(Count.FLOWS_PLACED)
+            code = ResultCode.NO_BACKEND_SERVER
+            return placer.refuse(caller, code, _NO_BACKEND_RETRY_MS)
+        placer.remember(flow_key, slot, is_framed=True)
+        self._context.counters.count(Count.FLOWS_PLACED)
         token = FlowToken(
             service_id,
-            flows.backends.name(slot),
-            self._host_id,
+            placer.backends.name(slot),
+            self._context.host_id,
             self._incarnation,
             first_request_id,
         )
@@ -161,16 +187,19 @@
             return self._drop(DropReason.UNKNOWN_SERVICE)
         if token is not None:
             return self._on_token(flows, caller, flow_key, payload, token)
-        slot = flows.known_slot(flow_key)
-        if not flows.backends.is_usable(slot):
-            slot = self._place(flows, flow_key, slot)
-        return self._forward(flows, slot, caller, payload)
+        placer = flows.placer
+        entry = placer.known.find(flow_key)
+        if entry is not None:
+            slot = slot_of(entry)
+            if placer.backends.is_usable(slot):
+                return placer.forward(slot, caller, payload)
+        return flows.on_unknown(caller, flow_key, payload, now_s)
 
     def on_close(self, service_id: str, flow_key: int) -> list[Action]:
         """Forget a flow that its caller has ended."""
         flows = self._services.get(service_id)
         if flows is not None:
-            flows.known.forget(flow_key)
+            flows.placer.forget(flow_key)
         return []
 
     def on_downstream(
@@ -183,18 +212,25 @@
         flows = self._services.get(message.service_id)
         if flows is None:
             return self._drop(DropReason.UNKNOWN_SERVICE)
-        if not flows.backends.has_endpoint(source):
+        placer = flows.placer
+        slot = placer.backends.slot_at(source)
+        if slot == NO_SLOT:
             return self._drop(self._stranger(source))
-        entry = flows.known.find(key_of(message.service_id, message.caller))
+        flow_key = key_of(message.service_id, message.caller)
+        if placer.find(flow_key) == NO_SLOT:
+            placer.learn(flow_key, slot)
         payload = message.payload
-        if entry is not None and is_framed(entry):
+        if is_framed(placer.known.find(flow_key) or 0):
             payload = encode(Data(payload))
-        self._counters.count(Count.PACKETS_DELIVERED)
+        self._context.counters.count(Count.PACKETS_DELIVERED)
         return [SendToCaller(message.service_id, message.caller, payload)]
 
     def on_lookup(self, message: Lookup, now_s: float) -> list[Action]:
         """Answer a peer's question about a flow."""
-        return []
+        flows = self._services.get(message.service_id)
+        if flows is None:
+            return self._drop(DropReason.UNKNOWN_SERVICE)
+        return flows.desk.on_lookup(message, now_s)
 
     def on_lookup_reply(
         self,
@@ -202,7 +238,10 @@
         now_s: float,
     ) -> list[Action]:
         """Forward the packets that waited for this answer."""
-        return self._drop(DropReason.REPLY_UNMATCHED)
+        flows = self._services.get(message.service_id)
+        if flows is None:
+            return self._drop(DropReason.UNKNOWN_SERVICE)
+        return flows.desk.on_lookup_reply(message, now_s)
 
     def on_flows_handed_over(
         self,
@@ -210,6 +249,11 @@
         now_s: float,
     ) -> list[Action]:
         """Record exceptions that a peer knows."""
+        flows = self._services.get(event.service_id)
+        if flows is not None:
+            flows.placer.sharing.receive(event)
+        elif len(self._early) < _EARLY_HANDOVERS_LIMIT:
+            self._early.append(event)
         return []
 
     def on_handover_finished(
@@ -218,25 +262,43 @@
         now_s: float,
     ) -> list[Action]:
         """Note whether a peer has received a handover."""
+        ledger = self._context.ledger
+        if not event.is_acknowledged:
+            self._context.counters.retry(RetryReason.HANDOVER_FAILED)
+            ledger.fail(event.handover_id, now_s)
+            return []
+        ledger.acknowledge(event.handover_id)
         return []
 
     def leave(self, now_s: float) -> list[Action]:
-        """Hand over everything that peers may not know."""
-        return []
+        """Stop owning flows and hand over what peers may not know."""
+        change = self._peers.leave()
+        actions: list[Action] = []
+        for flows in self._services.values():
+            actions.extend(flows.leave(change, now_s))
+        return actions
 
     def is_idle(self) -> bool:
-        """Tell whether nothing is left to hand over."""
-        return True
+        """Tell whether nothing is left to hand over and no packet waits."""
+        if self._context.ledger:
+            return False
+        return all(flows.is_idle() for flows in self._services.values())
 
     def is_prepared(self) -> bool:
         """Tell whether all handovers of the last change were acknowledged."""
-        return True
+        return all(
+            flows.placer.sharing.is_prepared()
+            for flows in self._services.values()
+        )
 
     def tick(self, now_s: float) -> list[Action]:
-        """Expire flows; called every 50 ms."""
+        """Expire flows, retry and go on with changes; called every 50 ms."""
+        self._peers.note_tick(now_s)
+        actions: list[Action] = []
+        actions.extend(self._context.ledger.retries(now_s))
         for flows in self._services.values():
-            flows.known.rotate_if_due(now_s)
-        return []
+            actions.extend(flows.tick(now_s))
+        return actions
 
     def _on_token(
         self,
@@ -246,54 +308,34 @@
         payload: bytes,
         token: FlowToken,
     ) -> list[Action]:
-        service_id = flows.service.service_id
-        if token.service_id != service_id:
+        placer = flows.placer
+        if token.service_id != placer.service_id:
             return self._drop(DropReason.SERVICE_MISMATCH)
-        slot = flows.backends.number(token.backend_id)
-        if slot == NO_SLOT:
+        slot = placer.backends.number(token.backend_id)
+        if slot == NO_SLOT or placer.backends.is_undeclared(slot):
             return self._drop(DropReason.UNKNOWN_BACKEND_SERVER)
-        if not flows.backends.is_usable(slot):
-            self._counters.refuse(ResultCode.BACKEND_SERVER_LOST)
-            refusal = Refusal(
-                0,
-                ResultCode.BACKEND_SERVER_LOST,
-                _REOPEN_AFTER_MS,
-            )
-            return [SendToCaller(service_id, caller, encode(refusal))]
-        if flows.known_slot(flow_key) != slot:
-            flows.remember(flow_key, slot, is_framed=True)
-        return self._forward(flows, slot, caller, payload)
-
-    def _place(self, flows: ServiceFlows, flow_key: int, lost: int) -> int:
-        """Choose a slot for a flow that is new or lost its backend server."""
-        if lost != NO_SLOT:
-            self._counters.count(Count.FLOWS_LOST_BACKEND)
-        slot = flows.place(flow_key)
-        if slot != NO_SLOT:
-            flows.remember(flow_key, slot, is_framed=False)
-            self._counters.count(Count.FLOWS_PLACED)
-        return slot
+        if not placer.backends.is_usable(slot):
+            code = ResultCode.BACKEND_SERVER_LOST
+            return placer.refuse(caller, code, _REOPEN_AFTER_MS)
+        entry = entry_of(slot, is_framed=True)
+        if placer.known.find(flow_key) != entry:
+            placer.known.put(flow_key, entry)
+        return placer.forward(slot, caller, payload)
 
-    def _forward(
-        self,
-        flows: ServiceFlows,
-        slot: int,
-        caller: Endpoint,
-        payload: bytes,
-    ) -> list[Action]:
-        if slot == NO_SLOT:
-            return self._drop(DropReason.NO_BACKEND_SERVER)
-        order = Forwarded(flows.service.service_id, caller, payload)
-        self._counters.count(Count.PACKETS_FORWARDED)
-        return [SendToBackend(flows.backends.endpoint(slot), encode(order))]
+    def _receive_early(self) -> None:
+        """Record the handovers of services that are known now."""
+        early = self._early
+        self._early = []
+        for event in early:
+            self.on_flows_handed_over(event, 0.0)
 
     def _stranger(self, source: Endpoint) -> DropReason:
         """Tell why a datagram from ``source`` is not of its service."""
         for flows in self._services.values():
-            if flows.backends.has_endpoint(source):
+            if flows.placer.backends.has_endpoint(source):
                 return DropReason.SERVICE_MISMATCH
         return DropReason.UNKNOWN_BACKEND_SERVER
 
     def _drop(self, reason: DropReason) -> list[Action]:
-        self._counters.drop(reason)
+        self._context.counters.drop(reason)
         return []
--- a/src/currantshore/internal/flowtable.py
+++ b/src/currantshore/internal/flowtable.py
@@ -1,5 +1,9 @@
 """Known flows of one service, in two generations.
 
+A flow is named by its fingerprint, the low 40 bits of its key. They include
+the bucket, so two flows with the same fingerprint have the same place in every
+table, and five bytes name a flow in a handover.
+
 Expiry needs no scan: the current generation becomes the previous one every
 idle timeout, and the previous one is dropped. A flow that is seen moves to the
 current generation, so it stays for one to two idle timeouts after its last
@@ -8,6 +12,10 @@
 
 from collections import Counter
 from collections.abc import Iterator
+from typing import Final
+
+FINGERPRINT_SIZE_BYTES: Final = 5
+FINGERPRINT_MASK: Final = (1 << 40) - 1
 
 # An entry holds the slot of the flow's backend server and, in the lowest bit,
 # whether the flow is framed. Small integers need no memory of their own.
@@ -29,7 +37,10 @@
 
 
 class FlowTable:
-    """Maps 64-bit flow keys to entries and counts the flows of each slot."""
+    """Maps flows to entries and counts the flows of each slot.
+
+    Methods take a flow key or a fingerprint.
+    """
 
     __slots__ = ('_idle_timeout_s', '_rotate_at_s', 'counts', 'current', 'old')
 
@@ -47,24 +58,26 @@
 
     def find(self, flow_key: int) -> int | None:
         """Return the entry of a flow and mark it as seen."""
-        entry = self.current.get(flow_key)
+        fingerprint = flow_key & FINGERPRINT_MASK
+        entry = self.current.get(fingerprint)
         if entry is None:
-            entry = self.old.pop(flow_key, None)
+            entry = self.old.pop(fingerprint, None)
             if entry is not None:
-                self.current[flow_key] = entry
+                self.current[fingerprint] = entry
         return entry
 
     def put(self, flow_key: int, entry: int) -> None:
         """Remember a flow or change its entry."""
         self.forget(flow_key)
-        self.current[flow_key] = entry
+        self.current[flow_key & FINGERPRINT_MASK] = entry
         self.counts[slot_of(entry)] += 1
 
     def forget(self, flow_key: int) -> None:
         """Drop a flow if it is known."""
-        entry = self.current.pop(flow_key, None)
+        fingerprint = flow_key & FINGERPRINT_MASK
+        entry = self.current.pop(fingerprint, None)
         if entry is None:
-            entry = self.old.pop(flow_key, None)
+            entry = self.old.pop(fingerprint, None)
         if entry is not None:
             self.counts[slot_of(entry)] -= 1
 
@@ -80,6 +93,6 @@
         return True
 
     def entries(self) -> Iterator[tuple[int, int]]:
-        """Yield (flow key, entry) of every known flow."""
+        """Yield (fingerprint, entry) of every known flow."""
         yield from self.old.items()
         yield from self.current.items()
--- /dev/null
+++ b/src/currantshore/internal/lookups.py
@@ -0,0 +1,161 @@
+"""Packets of unknown flows that wait for an owner's answer."""
+
+import dataclasses
+import enum
+from collections.abc import Iterator
+from typing import Final
+
+from currantshore.wire import Endpoint
+
+# Well above the round trip between availability zones (10 ms), so that a
+# missing answer means a lost message or a dead owner.
+LOOKUP_TIMEOUT_S: Final = 0.1
+
+# A lookup goes to the first owner alone once, then to both owners. The second
+# owner needs three rounds to be sure that the first one is silent.
+_LOOKUP_ROUNDS: Final = 6
+
+# A second owner asks the first one, and an owner polls its peers, while a
+# peer waits: both must be over before that peer gives up.
+_NESTED_TIMEOUT_S: Final = 0.05
+_RELAY_ROUNDS: Final = 3
+_POLL_ROUNDS: Final = 2
+
+# Bounds of the queue of one service: 1,024 flows with 8 packets of 1,400
+# bytes use at most 12 MB.
+_WAITING_FLOWS_LIMIT: Final = 1024
+_WAITING_PACKETS_LIMIT: Final = 8
+
+
+@enum.unique
+class LookupKind(enum.Enum):
+    """Whom a lookup asks.
+
+    ``OWNERS``: the first owner, then both. ``FIRST_OWNER``: only the first
+    owner, asked by the second one. ``POLL``: all candidates at once, for flows
+    that they know.
+    """
+
+    OWNERS = (LOOKUP_TIMEOUT_S, _LOOKUP_ROUNDS)
+    FIRST_OWNER = (_NESTED_TIMEOUT_S, _RELAY_ROUNDS)
+    POLL = (_NESTED_TIMEOUT_S, _POLL_ROUNDS)
+
+    @property
+    def timeout_s(self) -> float:
+        """Return how long one round waits for an answer."""
+        return self.value[0]
+
+    @property
+    def rounds(self) -> int:
+        """Return how often the candidates are asked."""
+        return self.value[1]
+
+
+@dataclasses.dataclass(slots=True)
+class PendingLookup:
+    """A flow whose place is not known yet.
+
+    ``candidates`` are the hosts to ask, in order of ownership.
+    """
+
+    flow_key: int
+    candidates: list[str]
+    kind: LookupKind
+    due_s: float
+    round_number: int = 0
+    is_reduced: bool = False
+    second_answer: int | None = None
+    packets: list[tuple[Endpoint, bytes]] = dataclasses.field(
+        default_factory=list,
+    )
+    askers: set[str] = dataclasses.field(default_factory=set)
+
+    def targets(self) -> list[str]:
+        """Return the hosts to ask in this round."""
+        if self.kind is LookupKind.POLL:
+            return list(self.candidates)
+        is_single = self.round_number == 0 or self.is_reduced
+        return self.candidates[: 1 if is_single else 2]
+
+    def is_over(self) -> bool:
+        """Tell whether no host is left to wait for."""
+        return not self.candidates or self.round_number >= self.kind.rounds
+
+    def rule_out(self, host: str, now_s: float) -> None:
+        """Go on with the next host after one that cannot tell."""
+        self.candidates.remove(host)
+        self.is_reduced = True
+        if self.kind is not LookupKind.POLL:
+            self.due_s = now_s + self.kind.timeout_s
+
+    def next_round(self, now_s: float) -> None:
+        """Start the next round after a missing answer."""
+        self.round_number += 1
+        self.due_s = now_s + self.kind.timeout_s
+
+    def restart(
+        self,
+        candidates: list[str],
+        kind: LookupKind,
+        now_s: float,
+    ) -> None:
+        """Go on as a lookup of another kind."""
+        self.candidates = candidates
+        self.kind = kind
+        self.round_number = 0
+        self.due_s = now_s + kind.timeout_s
+
+
+class LookupQueue:
+    """Pending lookups of one service, bounded in flows and packets."""
+
+    __slots__ = ('_pending',)
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._pending: dict[int, PendingLookup] = {}
+
+    def __len__(self) -> int:
+        """Return the number of waiting flows."""
+        return len(self._pending)
+
+    def find(self, flow_key: int) -> PendingLookup | None:
+        """Return the pending lookup of a flow."""
+        return self._pending.get(flow_key)
+
+    def start(
+        self,
+        flow_key: int,
+        candidates: list[str],
+        kind: LookupKind,
+        now_s: float,
+    ) -> PendingLookup | None:
+        """Start a lookup; returns None when the queue is full."""
+        if len(self._pending) >= _WAITING_FLOWS_LIMIT:
+            return None
+        due_s = now_s + kind.timeout_s
+        pending = PendingLookup(flow_key, candidates, kind, due_s)
+        self._pending[flow_key] = pending
+        return pending
+
+    def finish(self, flow_key: int) -> PendingLookup:
+        """Remove a lookup."""
+        return self._pending.pop(flow_key)
+
+    def due(self, now_s: float) -> Iterator[PendingLookup]:
+        """Yield the lookups whose answer did not come in time."""
+        for pending in tuple(self._pending.values()):
+            if pending.due_s <= now_s:
+                yield pending
+
+
+def add_packet(
+    pending: PendingLookup,
+    caller: Endpoint,
+    payload: bytes,
+) -> bool:
+    """Let a packet wait; returns False when too many wait already."""
+    if len(pending.packets) >= _WAITING_PACKETS_LIMIT:
+        return False
+    pending.packets.append((caller, payload))
+    return True
--- a/src/currantshore/internal/peerwire.py
+++ b/src/currantshore/internal/peerwire.py
@@ -37,15 +37,24 @@
 
 
 class Lookup(Message, frozen=True, array_like=True, tag='lookup'):
-    """Asks a flow's owner for the backend server of a flow."""
+    """Asks a flow's owner for the backend server of a flow.
+
+    With ``is_known_only`` the receiver does not place the flow: it answers
+    with an empty ``backend_id`` unless it already knows the flow.
+    """
 
     sender: str
     service_id: str
     flow_key: int
+    is_known_only: bool = False
 
 
 class LookupReply(Message, frozen=True, array_like=True, tag='lookupreply'):
-    """Answers ``Lookup``; an empty ``backend_id`` means a warming owner."""
+    """Answers ``Lookup``.
+
+    An empty ``backend_id`` means a warming owner or, for a lookup of known
+    flows only, a flow that the sender does not know.
+    """
 
     sender: str
     service_id: str
--- a/src/currantshore/internal/placement.py
+++ b/src/currantshore/internal/placement.py
@@ -15,6 +15,7 @@
 from currantshore.internal.hashing import stable_hash
 
 Slots: TypeAlias = NDArray[np.uint16]
+Numbers: TypeAlias = NDArray[np.uint64]
 Mask: TypeAlias = NDArray[np.bool_]
 
 # Marks a bucket without a backend server.
@@ -70,10 +71,17 @@
         """Return the slot of a flow's bucket, or ``NO_SLOT``."""
         return int(self.slots[flow_key & (self.bucket_count - 1)])
 
+    def slots_of(self, flow_keys: Numbers) -> Slots:
+        """Return the slots of many flows."""
+        buckets = flow_keys & np.uint64(self.bucket_count - 1)
+        return self.slots[buckets.astype(np.int64)]
+
     def ranked_slots(self, flow_key: int) -> list[int]:
         """Return the slots of a flow's bucket, highest weight first."""
         bucket = np.array([flow_key & (self.bucket_count - 1)], np.uint64)
-        weights = [int(_weights(name, bucket)[0]) for name in self._names]
+        weights = [
+            int(rendezvous_weights(name, bucket)[0]) for name in self._names
+        ]
         order = sorted(
             range(len(weights)),
             key=weights.__getitem__,
@@ -95,18 +103,18 @@
     slots = np.full(bucket_count, NO_SLOT, np.uint16)
     buckets = np.arange(bucket_count, dtype=np.uint64)
     for name, number in zip(names, numbers, strict=True):
-        weights = _weights(name, buckets)
+        weights = rendezvous_weights(name, buckets)
         higher = weights > best
         best[higher] = weights[higher]
         slots[higher] = number
     return slots
 
 
-def _weights(
+def rendezvous_weights(
     name: str,
-    buckets: NDArray[np.uint64],
-) -> NDArray[np.uint64]:
-    """Mix a name with bucket numbers into uniform 64-bit weights."""
+    buckets: Numbers,
+) -> Numbers:
+    """Return a uniform 64-bit weight of ``name`` for each bucket."""
     mixed = buckets * _GOLDEN_GAMMA + np.uint64(stable_hash(name))
     mixed = (mixed ^ (mixed >> np.uint64(30))) * _FIRST_FACTOR
     mixed = (mixed ^ (mixed >> np.uint64(27))) * _SECOND_FACTOR
--- /dev/null
+++ b/src/currantshore/internal/placing.py
@@ -0,0 +1,162 @@
+"""Where the flows of one service go on this balancer."""
+
+from currantshore.codes import DropReason, ResultCode
+from currantshore.internal.backends import BackendSlots
+from currantshore.internal.change import PlacementChange
+from currantshore.internal.counters import Count
+from currantshore.internal.events import Action, SendToBackend, SendToCaller
+from currantshore.internal.exceptions import ExceptionTable
+from currantshore.internal.flowtable import (
+    FINGERPRINT_MASK,
+    FlowTable,
+    entry_of,
+    slot_of,
+)
+from currantshore.internal.placement import NO_SLOT
+from currantshore.internal.sharing import ExceptionSharing, PlaneContext
+from currantshore.internal.snapshot import ServiceSnapshot
+from currantshore.wire import Endpoint, Forwarded, Refusal, encode
+
+
+class FlowPlacer:
+    """Known flows, exceptions and tables of one service."""
+
+    __slots__ = (
+        '_context',
+        'backends',
+        'change',
+        'exceptions',
+        'known',
+        'service_id',
+        'sharing',
+    )
+
+    def __init__(
+        self,
+        service: ServiceSnapshot,
+        context: PlaneContext,
+        is_known_by_peers: bool,
+        now_s: float,
+    ) -> None:
+        """Start with the configuration ``service`` and no known flow."""
+        self._context = context
+        self.service_id = service.service_id
+        idle_timeout_s = service.flow_idle_timeout_s
+        self.known = FlowTable(idle_timeout_s, now_s)
+        self.exceptions = ExceptionTable(idle_timeout_s, now_s)
+        self.backends = BackendSlots(context.health)
+        self.backends.configure(service)
+        self.change = PlacementChange(
+            service,
+            self.backends.table(service.bucket_count),
+            is_known_by_peers,
+            now_s,
+        )
+        self.sharing = ExceptionSharing(
+            service.service_id,
+            context,
+            self.backends,
+            self.known,
+            self.exceptions,
+            self.change,
+        )
+
+    def find(self, flow_key: int) -> int:
+        """Return the slot of a flow that is known or an exception."""
+        entry = self.known.find(flow_key)
+        if entry is not None:
+            return slot_of(entry)
+        slot = self.exceptions.find(flow_key)
+        if slot is None:
+            return NO_SLOT
+        self.remember(flow_key, slot, is_framed=False)
+        return slot
+
+    def remember(self, flow_key: int, slot: int, is_framed: bool) -> None:
+        """Record where a flow goes."""
+        self.known.put(flow_key, entry_of(slot, is_framed))
+
+    def forget(self, flow_key: int) -> None:
+        """Drop a flow that its caller has ended."""
+        self.known.forget(flow_key)
+        self.exceptions.forget(flow_key)
+
+    def learn(self, flow_key: int, slot: int) -> None:
+        """Record a flow that a backend server answers."""
+        self.remember(flow_key, slot, is_framed=False)
+        if slot != self.change.table.slot_of(flow_key):
+            self.note_late(flow_key, slot)
+
+    def least_loaded(self) -> int:
+        """Return the accepting slot with the lowest load by known flows."""
+        counts = self.known.counts
+        loads = {
+            slot: self.backends.weighted_load(slot, counts[slot])
+            for slot in self.backends.usable_accepting()
+        }
+        if not loads:
+            return NO_SLOT
+        lowest = min(loads.values())
+        return self._context.rng.choice(
+            [slot for slot, load in loads.items() if load == lowest],
+        )
+
+    def forward(
+        self,
+        slot: int,
+        caller: Endpoint,
+        payload: bytes,
+    ) -> list[Action]:
+        """Send a payload to the backend server of a slot."""
+        endpoint = None if slot == NO_SLOT else self.backends.endpoint(slot)
+        counters = self._context.counters
+        if endpoint is None:
+            counters.drop(DropReason.NO_BACKEND_SERVER)
+            return []
+        counters.counts[Count.PACKETS_FORWARDED] += 1
+        order = Forwarded(self.service_id, caller, payload)
+        return [SendToBackend(endpoint, encode(order))]
+
+    def refuse(
+        self,
+        caller: Endpoint,
+        code: ResultCode,
+        retry_after_ms: int,
+    ) -> list[Action]:
+        """Tell a caller of framed datagrams that its flow cannot go on."""
+        self._context.counters.refuse(code)
+        refusal = encode(Refusal(0, code, retry_after_ms))
+        return [SendToCaller(self.service_id, caller, refusal)]
+
+    def is_lost(self, slot: int) -> bool:
+        """Tell whether the flows of a slot need another backend server."""
+        if self.backends.is_usable(slot):
+            return False
+        return not self.backends.is_undeclared(slot)
+
+    def place(self, flow_key: int) -> int:
+        """Place a new flow by the table that is in force here."""
+        table = self.change.table_for_unknown() or self.change.table
+        slot = table.slot_of(flow_key)
+        if not self.backends.is_usable(slot):
+            return self.replace(flow_key)
+        self.remember(flow_key, slot, is_framed=False)
+        self._context.counters.count(Count.FLOWS_PLACED)
+        if slot != self.change.table.slot_of(flow_key):
+            self.note_late(flow_key, slot)
+        return slot
+
+    def replace(self, flow_key: int) -> int:
+        """Place a flow on the best backend server that is usable."""
+        if self.known.find(flow_key) is not None:
+            self._context.counters.count(Count.FLOWS_LOST_BACKEND)
+        self.forget(flow_key)
+        for slot in self.change.table.ranked_slots(flow_key):
+            if self.backends.is_usable(slot):
+                self.remember(flow_key, slot, is_framed=False)
+                return slot
+        return NO_SLOT
+
+    def note_late(self, flow_key: int, slot: int) -> None:
+        """Record a flow that is placed against the new table."""
+        self.sharing.note_late(flow_key & FINGERPRINT_MASK, slot)
--- /dev/null
+++ b/src/currantshore/internal/sharing.py
@@ -0,0 +1,344 @@
+"""How the balancers of a pool share the exceptions of one service.
+
+Every balancer hands the exceptions that it knows to their first and second
+owners. An owner that has committed sends those it owns first to the whole
+pool, once; after that an unknown flow costs no message.
+"""
+
+import dataclasses
+import random
+from collections.abc import Callable, Iterable, Mapping
+from typing import Final
+
+import numpy as np
+
+from currantshore.internal.backends import BackendSlots
+from currantshore.internal.change import NO_VERSION, PlacementChange
+from currantshore.internal.counters import Counters
+from currantshore.internal.events import Action, FlowsHandedOver
+from currantshore.internal.exceptions import (
+    ExceptionTable,
+    as_arrays,
+    misplaced,
+    opaque,
+    pack,
+    unpack,
+)
+from currantshore.internal.flowtable import FlowTable, entry_of
+from currantshore.internal.handovers import Handover, HandoverLedger
+from currantshore.internal.peers import PeerChange, Peers
+from currantshore.internal.placement import Mask, Numbers, Slots
+from currantshore.internal.views import BackendHealth
+
+# Groups late exceptions; a killed balancer loses those of this time.
+_FLUSH_INTERVAL_S: Final = 0.25
+
+# Spreads a handover over two intervals without delaying the commit much.
+_SECOND_OWNER_DELAY_S: Final = 0.25
+
+# Bounds the rate of a stopping balancer to 80 KB/s: 300,000 flows take 19 s.
+_LEAVING_CHUNK: Final = 4096
+
+_SECOND: Final = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlaneContext:
+    """What the services of one balancer share."""
+
+    host_id: str
+    peer_key: bytes
+    counters: Counters
+    peers: Peers
+    ledger: HandoverLedger
+    health: BackendHealth
+    rng: random.Random
+
+
+class ExceptionSharing:
+    """Sends and receives the exceptions of one service."""
+
+    __slots__ = (
+        '_backends',
+        '_change',
+        '_context',
+        '_continue_at_s',
+        '_exceptions',
+        '_flush_at_s',
+        '_known',
+        '_late',
+        '_leaving',
+        '_service_id',
+        '_waiting',
+    )
+
+    def __init__(
+        self,
+        service_id: str,
+        context: PlaneContext,
+        backends: BackendSlots,
+        known: FlowTable,
+        exceptions: ExceptionTable,
+        change: PlacementChange,
+    ) -> None:
+        """Share ``exceptions`` and the misplaced flows of ``known``."""
+        self._service_id = service_id
+        self._context = context
+        self._backends = backends
+        self._known = known
+        self._exceptions = exceptions
+        self._change = change
+        self._flush_at_s = float('-inf')
+        # Flows that a stopping balancer has not handed over yet.
+        self._leaving: list[tuple[int, int]] = []
+        # Exceptions found after the handover of their change.
+        self._late: dict[int, int] = {}
+        # Handovers to second owners, sent a moment after the first ones.
+        self._waiting: list[Handover] = []
+        self._continue_at_s = float('-inf')
+
+    def is_prepared(self) -> bool:
+        """Tell whether the owners have acknowledged all exceptions."""
+        if self._waiting:
+            return False
+        return not self._context.ledger.is_blocked(self._service_id)
+
+    def is_idle(self) -> bool:
+        """Tell whether nothing waits to be sent."""
+        return not (self._late or self._waiting or self._leaving)
+
+    def note_late(self, fingerprint: int, slot: int) -> None:
+        """Record an exception that arose after the handover."""
+        self._late[fingerprint] = slot
+        self._exceptions.add(fingerprint, slot, is_fresh=True)
+
+    def hand_over(
+        self, change: PeerChange | None, now_s: float
+    ) -> list[Action]:
+        """Send exceptions to their owners, first owners first.
+
+        After a ``change`` of the live balancers, only hosts that were no
+        owners before get them, but also those that peers have handed to this
+        balancer.
+        """
+        flows = self._unshared()
+        if change is not None:
+            flows = self._exceptions.items() | flows
+        for fingerprint, slot in flows.items():
+            self._exceptions.add(fingerprint, slot, is_fresh=True)
+        self._waiting.extend(self._to_owners(flows, _SECOND, change))
+        self._continue_at_s = now_s + _SECOND_OWNER_DELAY_S
+        return self._send(self._to_owners(flows, 0, change), now_s)
+
+    def continue_handover(self, now_s: float) -> list[Action]:
+        """Send to the second owners, even if a first one is silent."""
+        if now_s < self._continue_at_s:
+            return []
+        waiting = self._waiting
+        self._waiting = []
+        return self._send(waiting, now_s)
+
+    def forget_hosts(self, hosts: frozenset[str]) -> None:
+        """Drop what waits for hosts that are gone."""
+        self._waiting = [
+            handover
+            for handover in self._waiting
+            if handover.host_id not in hosts
+        ]
+
+    def take_back(self, handover: Handover) -> None:
+        """Send the flows of a given-up handover to the new owners."""
+        if handover.settled_version == NO_VERSION:
+            self._late.update(self._decoded(handover.flows))
+
+    def refresh(self) -> None:
+        """Tell the owners which exceptions still carry traffic."""
+        flows = misplaced(self._known, self._change.table)
+        for fingerprint, slot in flows.items():
+            self.note_late(fingerprint, slot)
+
+    def hand_over_all(self, now_s: float) -> list[Action]:
+        """Queue every known flow for its first owner, because of a stop.
+
+        A flow may be known here alone, and a change that starts after this
+        process has ended would move it.
+        """
+        self._leaving.extend(opaque(self._known).items())
+        return self.flush(now_s)
+
+    def welcome(self, hosts: Iterable[str], now_s: float) -> list[Action]:
+        """Send what this balancer owns to hosts that have just appeared.
+
+        Exceptions that the pool may not have yet go separately, so that the
+        receiver sends them on if it owns them now.
+        """
+        arrived = sorted(hosts)
+        if not arrived:
+            return []
+        elders = self._context.peers.elders(now_s)
+        held = self._exceptions.items()
+        owned = self._select(held, elders.is_owner)
+        fresh = {
+            fingerprint: owned.pop(fingerprint)
+            for fingerprint in self._exceptions.fresh
+            if fingerprint in owned
+        }
+        actions = self._send_settled(arrived, owned, now_s)
+        if fresh:
+            handovers = [self._handover(host, fresh, True) for host in arrived]
+            actions.extend(self._send(handovers, now_s))
+        return actions
+
+    def announce_commit(self, now_s: float) -> list[Action]:
+        """Send the exceptions that this balancer owns to the whole pool."""
+        hosts = sorted(self._context.peers.others)
+        return self._send_settled(hosts, self._take_fresh(), now_s)
+
+    def flush(self, now_s: float) -> list[Action]:
+        """Send exceptions that arose late, grouped over a short time."""
+        if now_s < self._flush_at_s:
+            return []
+        self._flush_at_s = now_s + _FLUSH_INTERVAL_S
+        actions: list[Action] = []
+        late = self._late
+        self._late = {}
+        for rank in (0, _SECOND):
+            handovers = self._to_owners(late, rank, None, is_blocking=False)
+            actions.extend(self._send(handovers, now_s))
+        actions.extend(self._flush_leaving(now_s))
+        if self._change.is_committed and self._exceptions.fresh:
+            actions.extend(self._flush_fresh(now_s))
+        return actions
+
+    def receive(self, event: FlowsHandedOver) -> None:
+        """Record exceptions and other flows that a peer has sent."""
+        is_settled = event.settled_version > NO_VERSION
+        table = self._change.table
+        for fingerprint, slot in self._decoded(event.flows).items():
+            if slot != table.slot_of(fingerprint):
+                self._exceptions.add(fingerprint, slot, not is_settled)
+            elif self._known.find(fingerprint) is None:
+                self._known.put(fingerprint, entry_of(slot, is_framed=False))
+        if is_settled:
+            self._change.note_settled(event.sender, event.settled_version)
+
+    def _unshared(self) -> dict[int, int]:
+        """Return the known misplaced flows that are no exceptions yet."""
+        flows = misplaced(self._known, self._change.table)
+        held = self._exceptions.items()
+        return {
+            fingerprint: slot
+            for fingerprint, slot in flows.items()
+            if fingerprint not in held
+        }
+
+    def _to_owners(
+        self,
+        flows: Mapping[int, int],
+        rank: int,
+        change: PeerChange | None,
+        *,
+        is_blocking: bool = True,
+    ) -> list[Handover]:
+        handovers: list[Handover] = []
+        if not flows:
+            return handovers
+        owners = self._context.peers.owners
+        keys, slots = as_arrays(flows)
+        for host in owners.hosts:
+            chosen = owners.owned_by(host, rank, keys)
+            if change is not None:
+                chosen = chosen & ~change.is_former_owner(host, keys)
+            if host == self._context.host_id or not chosen.any():
+                continue
+            selected = _chosen(keys, slots, chosen)
+            handovers.append(self._handover(host, selected, is_blocking))
+        return handovers
+
+    def _handover(
+        self,
+        host: str,
+        flows: Mapping[int, int],
+        is_blocking: bool,
+    ) -> Handover:
+        return Handover(
+            host_id=host,
+            service_id=self._service_id,
+            flows=self._encoded(flows),
+            settled_version=NO_VERSION,
+            is_blocking=is_blocking,
+        )
+
+    def _send_settled(
+        self,
+        hosts: Iterable[str],
+        flows: Mapping[int, int],
+        now_s: float,
+    ) -> list[Action]:
+        version = self._change.committed_version
+        encoded = self._encoded(flows)
+        return self._send(
+            [
+                Handover(host, self._service_id, encoded, version, False)
+                for host in hosts
+            ],
+            now_s,
+        )
+
+    def _flush_leaving(self, now_s: float) -> list[Action]:
+        chunk = self._leaving[:_LEAVING_CHUNK]
+        self._leaving = self._leaving[_LEAVING_CHUNK:]
+        handovers = self._to_owners(dict(chunk), 0, None, is_blocking=False)
+        return self._send(handovers, now_s)
+
+    def _flush_fresh(self, now_s: float) -> list[Action]:
+        flows = self._take_fresh()
+        if not flows:
+            return []
+        hosts = sorted(self._context.peers.others)
+        return self._send_settled(hosts, flows, now_s)
+
+    def _take_fresh(self) -> dict[int, int]:
+        """Take the new exceptions that this balancer owns first."""
+        owners = self._context.peers.owners
+        fresh = self._exceptions.fresh
+        taken = self._select(fresh, owners.is_first_owner)
+        for fingerprint in taken:
+            fresh.pop(fingerprint)
+        return taken
+
+    def _select(
+        self,
+        flows: Mapping[int, int],
+        is_owner: Callable[[str, Numbers], Mask],
+    ) -> dict[int, int]:
+        """Return the flows that this balancer owns."""
+        keys, slots = as_arrays(flows)
+        return _chosen(keys, slots, is_owner(self._context.host_id, keys))
+
+    def _send(
+        self,
+        handovers: Iterable[Handover],
+        now_s: float,
+    ) -> list[Action]:
+        ledger = self._context.ledger
+        return [ledger.send(handover, now_s) for handover in handovers]
+
+    def _encoded(self, flows: Mapping[int, int]) -> dict[str, bytes]:
+        keys, slots = as_arrays(flows)
+        return {
+            self._backends.name(int(slot)): pack(keys[slots == slot])
+            for slot in np.unique(slots)
+        }
+
+    def _decoded(self, flows: Mapping[str, bytes]) -> dict[int, int]:
+        return {
+            fingerprint: self._backends.reserve(backend_id)
+            for backend_id, packed in flows.items()
+            for fingerprint in unpack(packed)
+        }
+
+
+def _chosen(keys: Numbers, slots: Slots, mask: Mask) -> dict[int, int]:
+    chosen_keys = keys[mask].tolist()
+    return dict(zip(chosen_keys, slots[mask].tolist(), strict=True))
--- a/src/currantshore/internal/tracking.py
+++ b/src/currantshore/internal/tracking.py
@@ -1,66 +1,109 @@
-"""Flows of one service: where packets of known and unknown flows go."""
+"""State of one service in the flow part of the core."""
 
-import random
-
-from currantshore.internal.backends import BackendSlots
-from currantshore.internal.flowtable import FlowTable, entry_of, slot_of
-from currantshore.internal.placement import NO_SLOT, PlacementTable
+from currantshore.internal.asking import LookupDesk
+from currantshore.internal.counters import Count
+from currantshore.internal.events import Action
+from currantshore.internal.peers import PeerChange
+from currantshore.internal.placement import NO_SLOT
+from currantshore.internal.placing import FlowPlacer
+from currantshore.internal.sharing import PlaneContext
 from currantshore.internal.snapshot import ServiceSnapshot
-from currantshore.internal.views import BackendHealth
+from currantshore.wire import Endpoint
 
 
 class ServiceFlows:
-    """Placement state of one service on one balancer."""
+    """Placement, prepared changes, exceptions and lookups of a service."""
 
-    __slots__ = ('_rng', 'backends', 'known', 'service', 'table')
+    __slots__ = ('_context', '_service', 'desk', 'placer')
 
     def __init__(
         self,
         service: ServiceSnapshot,
-        health: BackendHealth,
-        rng: random.Random,
+        context: PlaneContext,
+        is_known_by_peers: bool,
         now_s: float,
     ) -> None:
         """Start with the configuration ``service`` and no known flow."""
-        self._rng = rng
-        self.service = service
-        self.known = FlowTable(service.flow_idle_timeout_s, now_s)
-        self.backends = BackendSlots(health)
-        self.backends.configure(service)
-        self.table: PlacementTable = self.backends.table(service.bucket_count)
+        self._context = context
+        self._service = service
+        self.placer = FlowPlacer(service, context, is_known_by_peers, now_s)
+        self.desk = LookupDesk(self.placer, context)
+
+    def configure(
+        self,
+        service: ServiceSnapshot,
+        now_s: float,
+    ) -> list[Action]:
+        """Prepare a change to the backend servers of ``service``."""
+        if service == self._service:
+            return []
+        self._service = service
+        placer = self.placer
+        placer.backends.configure(service)
+        table = placer.backends.table(service.bucket_count)
+        placer.change.start(service, table, self._context.peers, now_s)
+        actions = placer.sharing.hand_over(None, now_s)
+        if placer.change.is_committed:
+            actions.extend(placer.sharing.announce_commit(now_s))
+        return actions
+
+    def on_peer_change(self, change: PeerChange, now_s: float) -> list[Action]:
+        """Send exceptions to new owners and to hosts that have arrived."""
+        sharing = self.placer.sharing
+        sharing.forget_hosts(change.departed | change.arrived)
+        actions = sharing.welcome(change.arrived, now_s)
+        if change.is_owner_change and self.placer.change.moved is not None:
+            self.placer.change.note_owner_change(now_s)
+            actions.extend(sharing.hand_over(change, now_s))
+        return actions
 
-    def configure(self, service: ServiceSnapshot) -> None:
-        """Place new flows by the backend servers of ``service``."""
-        self.service = service
-        self.backends.configure(service)
-        self.table = self.backends.table(service.bucket_count)
+    def leave(self, change: PeerChange, now_s: float) -> list[Action]:
+        """Hand over all flows, because this balancer stops."""
+        sharing = self.placer.sharing
+        actions = sharing.hand_over(change, now_s)
+        return actions + sharing.hand_over_all(now_s)
 
-    def place(self, flow_key: int) -> int:
-        """Return the slot for a new flow by the bucket table."""
-        slot = self.table.slot_of(flow_key)
-        if self.backends.is_usable(slot):
-            return slot
-        for other in self.table.ranked_slots(flow_key):
-            if self.backends.is_usable(other):
-                return other
-        return NO_SLOT
+    def on_unknown(
+        self,
+        caller: Endpoint,
+        flow_key: int,
+        payload: bytes,
+        now_s: float,
+    ) -> list[Action]:
+        """Forward a packet whose flow has no usable entry in the table."""
+        placer = self.placer
+        slot = placer.find(flow_key)
+        if slot == NO_SLOT:
+            return self.desk.on_packet(caller, flow_key, payload, now_s)
+        if placer.is_lost(slot):
+            slot = placer.replace(flow_key)
+        return placer.forward(slot, caller, payload)
 
-    def least_loaded(self) -> int:
-        """Return the accepting slot with the fewest known flows."""
-        usable = self.backends.usable_accepting()
-        if not usable:
-            return NO_SLOT
-        counts = self.known.counts
-        lowest = min(counts[slot] for slot in usable)
-        return self._rng.choice(
-            [slot for slot in usable if counts[slot] == lowest],
-        )
+    def is_idle(self) -> bool:
+        """Tell whether no packet and no exception waits."""
+        return self.desk.is_idle() and self.placer.sharing.is_idle()
 
-    def remember(self, flow_key: int, slot: int, is_framed: bool) -> None:
-        """Record where a flow goes."""
-        self.known.put(flow_key, entry_of(slot, is_framed))
+    def tick(self, now_s: float) -> list[Action]:
+        """Expire flows, retry lookups and go on with a change."""
+        placer = self.placer
+        if placer.known.rotate_if_due(now_s):
+            placer.sharing.refresh()
+        placer.exceptions.rotate_if_due(now_s)
+        actions = placer.sharing.continue_handover(now_s)
+        actions.extend(self._go_on(now_s))
+        actions.extend(placer.sharing.flush(now_s))
+        actions.extend(self.desk.tick(now_s))
+        return actions
 
-    def known_slot(self, flow_key: int) -> int:
-        """Return the slot of a known flow, or ``NO_SLOT``."""
-        entry = self.known.find(flow_key)
-        return NO_SLOT if entry is None else slot_of(entry)
+    def _go_on(self, now_s: float) -> list[Action]:
+        """Commit and settle the change when it is time."""
+        change = self.placer.change
+        sharing = self.placer.sharing
+        peers = self._context.peers
+        actions: list[Action] = []
+        if change.commit_if_ready(peers, not sharing.is_prepared(), now_s):
+            actions = sharing.announce_commit(now_s)
+            if change.is_forced:
+                self._context.counters.count(Count.PREPARE_TIMEOUTS)
+        change.settle_if_complete(peers.others, now_s)
+        return actions
--- /dev/null
+++ b/tests/stateful/links.py
@@ -0,0 +1,743 @@
+"""Flow planes joined by an in-memory network on a virtual clock.
+
+Datagrams are delayed, lost, duplicated and reordered; calls between balancers
+are delayed and may fail although they arrived. Everything is drawn from one
+seeded generator, so a run can be repeated.
+"""
+
+import dataclasses
+import heapq
+import random
+from collections import Counter
+from collections.abc import Callable, Iterable
+from functools import partial
+from typing import TypeAlias
+
+from currantshore import wire
+from currantshore.internal.counters import Counters
+from currantshore.internal.events import (
+    Action,
+    FlowsHandedOver,
+    HandOverFlows,
+    HandoverFinished,
+    SendToBackend,
+    SendToCaller,
+    SendToPeer,
+)
+from currantshore.internal.flowplane import FlowPlane
+from currantshore.internal.hashing import flow_key, stable_hash
+from currantshore.internal.peerwire import Lookup, LookupReply, unseal
+from currantshore.internal.snapshot import (
+    BackendServer,
+    BackendState,
+    PoolHost,
+    PoolMembers,
+    PoolSnapshot,
+    ServiceSnapshot,
+)
+from currantshore.internal.tokens import FlowToken, TokenSealer
+from currantshore.internal.views import LiveView, PeerView
+from currantshore.wire import Endpoint
+
+PEER_KEY = b'pool key'
+HEARTBEAT_INTERVAL_S = 0.5
+FAILURE_TIMEOUT_S = 2.0
+TICK_INTERVAL_S = 0.05
+CALL_TIMEOUT_S = 0.5
+RETRANSMISSION_S = 0.2
+
+# What a call costs besides names and fingerprints; an assumption that the
+# measurements of the rpc adapter replace.
+CALL_OVERHEAD_BYTES = 64
+
+
+class Health:
+    """Verdicts that a test sets; the same for all balancers."""
+
+    def __init__(self) -> None:
+        self.lost: set[str] = set()
+
+    def is_usable(self, backend_id: str) -> bool:
+        return backend_id not in self.lost
+
+    def weight_ratio(self, backend_id: str) -> float:
+        return 1.0
+
+    def record_success(self, backend_id: str, now_s: float) -> None:
+        """Ignore the outcome."""
+
+    def record_failure(self, backend_id: str, now_s: float) -> None:
+        """Ignore the outcome."""
+
+
+class Baseline:
+    """A plane that ignores its peers; measurements derive baselines of it."""
+
+    def on_live_view(self, view: LiveView, now_s: float) -> list[Action]:
+        return []
+
+    def on_open(
+        self,
+        service_id: str,
+        caller: Endpoint,
+        flow_key: int,
+        first_request_id: int,
+        now_s: float,
+    ) -> list[Action]:
+        return []
+
+    def on_downstream(
+        self,
+        source: Endpoint,
+        message: wire.Downstream,
+        now_s: float,
+    ) -> list[Action]:
+        return [SendToCaller(message.service_id, message.caller, b'')]
+
+    def on_lookup(self, message: Lookup, now_s: float) -> list[Action]:
+        return []
+
+    def on_lookup_reply(
+        self,
+        message: LookupReply,
+        now_s: float,
+    ) -> list[Action]:
+        return []
+
+    def on_flows_handed_over(
+        self,
+        event: FlowsHandedOver,
+        now_s: float,
+    ) -> list[Action]:
+        return []
+
+    def on_handover_finished(
+        self,
+        event: HandoverFinished,
+        now_s: float,
+    ) -> list[Action]:
+        return []
+
+    def leave(self, now_s: float) -> list[Action]:
+        return []
+
+    def is_idle(self) -> bool:
+        return True
+
+    def is_prepared(self) -> bool:
+        return True
+
+    def tick(self, now_s: float) -> list[Action]:
+        return []
+
+    def configure(self, pool: PoolSnapshot, now_s: float) -> list[Action]:
+        raise NotImplementedError
+
+    def on_payload(
+        self,
+        service_id: str,
+        caller: Endpoint,
+        flow_key: int,
+        payload: bytes,
+        token: FlowToken | None,
+        now_s: float,
+    ) -> list[Action]:
+        raise NotImplementedError
+
+
+Plane: TypeAlias = FlowPlane | Baseline
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkQuality:
+    """How datagrams and calls travel."""
+
+    delay_s: tuple[float, float] = (0.001, 0.006)
+    loss_ratio: float = 0.0
+    duplicate_ratio: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """One balancer process."""
+
+    host_id: str
+    incarnation: int
+    plane: Plane
+    counters: Counters
+    started_s: float
+    version: int = -1
+    prepared_version: int = -1
+    is_leaving: bool = False
+    is_alive: bool = True
+    frozen_until_s: float = 0.0
+    heard: dict[str, tuple[float, PeerView]] = dataclasses.field(
+        default_factory=dict,
+    )
+    view: LiveView | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Flow:
+    """A caller and what it has seen; ``backend`` is its oracle."""
+
+    service_id: str
+    caller: Endpoint
+    opened_s: float
+    is_framed: bool = False
+    token: bytes = b''
+    backend: Endpoint | None = None
+    backend_since_s: float = 0.0
+    is_broken: bool = False
+
+    @property
+    def key(self) -> int:
+        return flow_key(self.service_id, self.caller)
+
+
+def digest(version: int) -> int:
+    """Stand in for the digest of the held versions."""
+    return stable_hash('digest', version)
+
+
+def backend(
+    service_id: str,
+    number: int,
+    state: BackendState = BackendState.ACTIVE,
+) -> BackendServer:
+    """Declare a backend server whose address tells its service."""
+    host = f'127.1.{stable_hash(service_id) % 250}.{number}'
+    return BackendServer(
+        backend_id=f'{service_id}-{number}',
+        zone='harbor',
+        endpoint=Endpoint(host, 9000),
+        slot_count=3,
+        state=state,
+    )
+
+
+def service(
+    service_id: str,
+    backends: Iterable[BackendServer],
+    version: int = 0,
+    bucket_count: int = 2048,
+    idle_timeout_s: float = 300.0,
+) -> ServiceSnapshot:
+    """Declare a service."""
+    return ServiceSnapshot(
+        service_id=service_id,
+        user_id='lakeshore',
+        address=Endpoint('127.0.0.1', 1),
+        bucket_count=bucket_count,
+        backend_servers=tuple(backends),
+        priority_classes=(),
+        flow_idle_timeout_s=idle_timeout_s,
+        version=version,
+    )
+
+
+def pool(
+    hosts: Iterable[str],
+    services: Iterable[ServiceSnapshot],
+    version: int = 0,
+) -> PoolSnapshot:
+    """Declare a pool."""
+    entry_hosts = tuple(
+        PoolHost(host, 'harbor', Endpoint(host, 1), Endpoint(host, 2))
+        for host in hosts
+    )
+    members = PoolMembers('p', 'lakeshore', ('harbor',), entry_hosts, version)
+    return PoolSnapshot(members, tuple(services))
+
+
+Timer: TypeAlias = tuple[float, int, Callable[[], None]]
+PlaneFactory: TypeAlias = Callable[
+    [str, int, Counters, Health, random.Random], Plane
+]
+
+
+def flow_plane(
+    host_id: str,
+    incarnation: int,
+    counters: Counters,
+    health: Health,
+    rng: random.Random,
+) -> Plane:
+    """Build the plane under test."""
+    return FlowPlane.from_config(
+        host_id,
+        counters,
+        TokenSealer(PEER_KEY),
+        PEER_KEY,
+        incarnation,
+        health,
+        rng,
+    )
+
+
+class Network:
+    """Balancers, callers and backend servers on one virtual clock."""
+
+    def __init__(
+        self,
+        seed: int,
+        quality: LinkQuality,
+        make_plane: PlaneFactory = flow_plane,
+    ) -> None:
+        self.now_s = 0.0
+        self.rng = random.Random(seed)
+        self.quality = quality
+        self.health = Health()
+        self.nodes: dict[str, Node] = {}
+        self.flows: dict[Endpoint, Flow] = {}
+        self.trace: list[tuple[float, str]] = []
+        self.broken: list[str] = []
+        self.strayed: list[str] = []
+        self.upstream: Counter[Endpoint] = Counter()
+        self.new_flow_at: dict[Endpoint, float] = {}
+        self.control_bytes: Counter[tuple[str, int]] = Counter()
+        self.control_kinds: Counter[str] = Counter()
+        self.is_tracing = False
+        self._make_plane = make_plane
+        self._queue: list[Timer] = []
+        self._sequence = 0
+        self._pools: dict[int, PoolSnapshot] = {}
+        self._owners_of: dict[Endpoint, str] = {}
+        self._sealer = TokenSealer(PEER_KEY)
+
+    # The clock
+
+    def at(self, time_s: float, call: Callable[[], None]) -> None:
+        """Run ``call`` at a time."""
+        self._sequence += 1
+        heapq.heappush(self._queue, (time_s, self._sequence, call))
+
+    def run(self, duration_s: float) -> None:
+        """Let virtual time pass."""
+        end_s = self.now_s + duration_s
+        while self._queue and self._queue[0][0] <= end_s:
+            timer = heapq.heappop(self._queue)
+            self.now_s = timer[0]
+            timer[2]()
+        self.now_s = end_s
+
+    # Balancers
+
+    def start(self, host_id: str, lag_s: float = 0.0) -> Node:
+        """Start a balancer; it gets the newest configuration after a lag."""
+        former = self.nodes.get(host_id)
+        if former is not None:
+            former.is_alive = False
+        incarnation = self.rng.getrandbits(31)
+        counters = Counters()
+        plane = self._make_plane(
+            host_id,
+            incarnation,
+            counters,
+            self.health,
+            self.rng,
+        )
+        node = Node(host_id, incarnation, plane, counters, self.now_s)
+        self.nodes[host_id] = node
+        self.note(f'start {host_id}')
+        self._configure_later(node, max(self._pools), lag_s)
+        phase_s = self.rng.uniform(0, HEARTBEAT_INTERVAL_S)
+        self.at(self.now_s + phase_s, lambda: self._heartbeat(node))
+        self.at(self.now_s + TICK_INTERVAL_S, lambda: self._tick(node))
+        return node
+
+    def kill(self, host_id: str) -> None:
+        """End a process without notice."""
+        self.nodes.pop(host_id).is_alive = False
+        self.note(f'kill {host_id}')
+
+    def freeze(self, host_id: str, duration_s: float) -> None:
+        """Stop a process for a while; its datagrams wait."""
+        self.nodes[host_id].frozen_until_s = self.now_s + duration_s
+        self.note(f'freeze {host_id} {duration_s}')
+
+    def leave(self, host_id: str) -> None:
+        """Ask a process to stop; it ends when it is idle."""
+        node = self.nodes[host_id]
+        self.note(f'leave {host_id}')
+        node.is_leaving = True
+        self._do(node, node.plane.leave(self.now_s))
+
+    def accept(self, snapshot: PoolSnapshot, lags_s: Iterable[float]) -> float:
+        """Give the nodes a configuration, each after its own lag.
+
+        Returns the time at which all of them know it.
+        """
+        version = snapshot.members.version
+        self._pools[version] = snapshot
+        for one in snapshot.services:
+            for server in one.backend_servers:
+                self._owners_of[server.endpoint] = one.service_id
+        known_s = self.now_s
+        for node, lag_s in zip(self.nodes.values(), lags_s, strict=False):
+            self._configure_later(node, version, lag_s)
+            known_s = max(known_s, self.now_s + lag_s)
+        self.note(f'accept {version}')
+        return known_s
+
+    def live(self) -> list[Node]:
+        """Return the running balancers."""
+        return [node for node in self.nodes.values() if node.is_alive]
+
+    # Callers
+
+    def open_flow(
+        self,
+        service_id: str,
+        number: int,
+        is_framed: bool = False,
+    ) -> Flow:
+        """Start a flow of a new caller."""
+        caller = Endpoint(f'127.9.{number >> 8 & 255}.{number & 255}', number)
+        flow = Flow(service_id, caller, self.now_s, is_framed)
+        self.flows[caller] = flow
+        self.send(flow)
+        return flow
+
+    def send(self, flow: Flow, host_id: str = '') -> None:
+        """Send a packet of a flow to a balancer that the fabric chooses."""
+        hosts = [
+            node.host_id for node in self.live() if not node.is_leaving
+        ] or [node.host_id for node in self.live()]
+        if not hosts:
+            return
+        target = host_id if host_id in hosts else self.rng.choice(hosts)
+        sent_s = self.now_s
+        self._deliver(target, lambda node: self._arrive(node, flow, sent_s))
+
+    # Details
+
+    def note(self, text: str) -> None:
+        """Add a line to the trace."""
+        if self.is_tracing:
+            self.trace.append((round(self.now_s, 4), text))
+
+    def _arrive(self, node: Node, flow: Flow, sent_s: float) -> None:
+        payload = repr(sent_s).encode()
+        token = None
+        if flow.is_framed and not flow.token:
+            actions = node.plane.on_open(
+                flow.service_id,
+                flow.caller,
+                flow.key,
+                1,
+                self.now_s,
+            )
+            self._do(node, actions)
+            return
+        if flow.is_framed:
+            token = self._sealer.unseal(flow.token, flow.key, flow.service_id)
+        self.note(f'{node.host_id} <- {flow.caller.port}')
+        actions = node.plane.on_payload(
+            flow.service_id,
+            flow.caller,
+            flow.key,
+            payload,
+            token,
+            self.now_s,
+        )
+        self._do(node, actions)
+
+    def _configure_later(
+        self,
+        node: Node,
+        version: int,
+        lag_s: float,
+    ) -> None:
+        def configure() -> None:
+            if not node.is_alive or version <= node.version:
+                return
+            if self.now_s < node.frozen_until_s:
+                self.at(node.frozen_until_s + 0.01, configure)
+                return
+            node.version = version
+            self.note(f'{node.host_id} learns {version}')
+            snapshot = self._pools[version]
+            self._do(node, node.plane.configure(snapshot, self.now_s))
+            self._show_view(node)
+
+        self.at(self.now_s + lag_s, configure)
+
+    def _tick(self, node: Node) -> None:
+        if not node.is_alive:
+            return
+        resume_s = max(self.now_s + TICK_INTERVAL_S, node.frozen_until_s)
+        self.at(resume_s, lambda: self._tick(node))
+        if self.now_s < node.frozen_until_s:
+            return
+        if node.version >= 0:
+            self._show_view(node)
+            self._do(node, node.plane.tick(self.now_s))
+        if node.is_leaving and node.plane.is_idle():
+            node.is_alive = False
+            self.nodes.pop(node.host_id, None)
+            self.note(f'{node.host_id} has left')
+
+    def _heartbeat(self, node: Node) -> None:
+        if not node.is_alive:
+            return
+        interval_s = HEARTBEAT_INTERVAL_S * self.rng.uniform(0.9, 1.1)
+        resume_s = max(self.now_s + interval_s, node.frozen_until_s)
+        self.at(resume_s, lambda: self._heartbeat(node))
+        if self.now_s < node.frozen_until_s or node.version < 0:
+            return
+        shown = self._self_view(node)
+        for host in sorted(self.nodes):
+            if host != node.host_id:
+                self._deliver(host, partial(self._hear, shown))
+
+    def _hear(self, shown: PeerView, node: Node) -> None:
+        node.heard[shown.host_id] = (self.now_s, shown)
+        if node.version >= 0:
+            self._show_view(node)
+
+    def _self_view(self, node: Node) -> PeerView:
+        if node.plane.is_prepared():
+            node.prepared_version = node.version
+        prepared = node.prepared_version
+        return PeerView(
+            host_id=node.host_id,
+            zone='harbor',
+            incarnation=node.incarnation,
+            is_leaving=node.is_leaving,
+            is_warm=True,
+            prepared_digest=0 if prepared < 0 else digest(prepared),
+            demands={},
+        )
+
+    def _show_view(self, node: Node) -> None:
+        peers = {
+            host: shown
+            for host, (heard_s, shown) in node.heard.items()
+            if self.now_s - heard_s < FAILURE_TIMEOUT_S
+        }
+        peers[node.host_id] = self._self_view(node)
+        view = LiveView(node.host_id, peers, digest(node.version))
+        if view != node.view:
+            node.view = view
+            self._do(node, node.plane.on_live_view(view, self.now_s))
+
+    def _deliver(
+        self,
+        host_id: str,
+        receive: Callable[[Node], None],
+    ) -> None:
+        """Carry a datagram to a balancer, or lose or duplicate it."""
+        if self.rng.random() < self.quality.loss_ratio:
+            return
+        copies = 1 + (self.rng.random() < self.quality.duplicate_ratio)
+        for _ in range(copies):
+            delay_s = self.rng.uniform(*self.quality.delay_s)
+            self.at(
+                self.now_s + delay_s,
+                partial(self._receive, host_id, receive),
+            )
+
+    def _receive(
+        self,
+        host_id: str,
+        receive: Callable[[Node], None],
+    ) -> None:
+        node = self.nodes.get(host_id)
+        if node is None or not node.is_alive:
+            return
+        if self.now_s < node.frozen_until_s:
+            self.at(
+                node.frozen_until_s,
+                lambda: self._receive(host_id, receive),
+            )
+            return
+        receive(node)
+
+    def _do(self, node: Node, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case SendToBackend(target, payload):
+                    self._to_backend(node, target, payload)
+                case SendToPeer(host_id, payload):
+                    self._to_peer(node, host_id, payload)
+                case HandOverFlows():
+                    self._call(node, action)
+                case SendToCaller(_, caller, payload):
+                    self._to_caller(caller, payload)
+                case _:
+                    raise AssertionError(action)
+
+    def _to_caller(self, caller: Endpoint, payload: bytes) -> None:
+        flow = self.flows[caller]
+        if flow.is_framed:
+            message = wire.decode_from_balancer(payload)
+            if isinstance(message, wire.Opened) and not flow.token:
+                flow.token = message.token
+            return
+
+    def _to_backend(
+        self,
+        node: Node,
+        target: Endpoint,
+        payload: bytes,
+    ) -> None:
+        order = wire.decode_order(payload)
+        assert isinstance(order, wire.Forwarded)
+        flow = self.flows[order.caller]
+        sent_s = float(order.payload)
+        self.note(f'{node.host_id} sends {flow.caller.port} to {target.host}')
+        if self._owners_of.get(target) != order.service_id:
+            self.strayed.append(f'{order.service_id} to {target}')
+        self.upstream[target] += 1
+        self._check(flow, target, sent_s, node)
+        self.new_flow_at[target] = max(
+            self.new_flow_at.get(target, 0.0),
+            flow.opened_s,
+        )
+        self._deliver(
+            node.host_id,
+            lambda same: self._answer(same, node, target, flow),
+        )
+
+    def _check(
+        self,
+        flow: Flow,
+        target: Endpoint,
+        sent_s: float,
+        node: Node,
+    ) -> None:
+        if flow.backend is None or flow.is_broken or flow.backend == target:
+            return
+        if sent_s < flow.backend_since_s or self._is_lost(flow.backend):
+            return
+        flow.is_broken = True
+        self.broken.append(
+            f'{self.now_s:.3f} {node.host_id} sent flow {flow.caller.port} '
+            f'(opened {flow.opened_s:.3f}) of {flow.backend.host} '
+            f'to {target.host}',
+        )
+        self.note(f'BROKEN {self.broken[-1]}')
+
+    def _is_lost(self, target: Endpoint) -> bool:
+        lost = self.health.lost
+        return any(
+            server.endpoint == target and server.backend_id in lost
+            for one in self._pools[max(self._pools)].services
+            for server in one.backend_servers
+        )
+
+    def _answer(
+        self,
+        node: Node,
+        sender: Node,
+        target: Endpoint,
+        flow: Flow,
+    ) -> None:
+        if node is not sender:
+            return
+        message = wire.Downstream(flow.service_id, flow.caller, b'y')
+        actions = node.plane.on_downstream(target, message, self.now_s)
+        if actions and flow.backend is None:
+            flow.backend = target
+            flow.backend_since_s = self.now_s
+            self.note(f'{flow.caller.port} belongs to {target.host}')
+        self._do(node, actions)
+
+    def _to_peer(self, node: Node, host_id: str, payload: bytes) -> None:
+        message = unseal(payload, PEER_KEY)
+        self._count(node, type(message).__name__, len(payload))
+        self.note(f'{node.host_id} to {host_id}: {message}')
+        match message:
+            case Lookup():
+                self._deliver(
+                    host_id,
+                    lambda peer: self._do(
+                        peer,
+                        peer.plane.on_lookup(message, self.now_s),
+                    ),
+                )
+            case LookupReply():
+                self._deliver(
+                    host_id,
+                    lambda peer: self._do(
+                        peer,
+                        peer.plane.on_lookup_reply(message, self.now_s),
+                    ),
+                )
+
+    def _call(self, node: Node, action: HandOverFlows) -> None:
+        """Carry a call; a lost packet delays it or hides its answer."""
+        size = sum(
+            len(name) + len(flows) for name, flows in action.flows.items()
+        )
+        kind = 'Handover' if action.settled_version < 0 else 'Settled'
+        self._count(node, kind, size + CALL_OVERHEAD_BYTES)
+        self.note(
+            f'{node.host_id} hands {size} bytes to {action.host_id} '
+            f'(settled {action.settled_version})',
+        )
+        event = FlowsHandedOver(
+            node.host_id,
+            action.service_id,
+            action.flows,
+            action.settled_version,
+        )
+        delay_s = self.rng.uniform(*self.quality.delay_s)
+        if self.rng.random() < self.quality.loss_ratio:
+            delay_s += RETRANSMISSION_S
+        is_hidden = self.rng.random() < self.quality.loss_ratio
+        call = partial(self._arrive_call, node, action, event, is_hidden)
+        self.at(self.now_s + delay_s, call)
+
+    def _arrive_call(
+        self,
+        node: Node,
+        action: HandOverFlows,
+        event: FlowsHandedOver,
+        is_hidden: bool,
+    ) -> None:
+        peer = self.nodes.get(action.host_id)
+        if peer is None or not peer.is_alive:
+            self._finish_later(node, action, is_good=False)
+            return
+        if self.now_s < peer.frozen_until_s:
+            call = partial(self._arrive_call, node, action, event, is_hidden)
+            self.at(peer.frozen_until_s, call)
+            return
+        self._do(peer, peer.plane.on_flows_handed_over(event, self.now_s))
+        self._finish_later(node, action, is_good=not is_hidden)
+
+    def _finish_later(
+        self,
+        node: Node,
+        action: HandOverFlows,
+        is_good: bool,
+    ) -> None:
+        delay_s = CALL_TIMEOUT_S
+        if is_good:
+            delay_s = self.rng.uniform(*self.quality.delay_s)
+        self.at(
+            self.now_s + delay_s,
+            partial(self._finish, node, action, is_good),
+        )
+
+    def _finish(
+        self,
+        node: Node,
+        action: HandOverFlows,
+        is_acknowledged: bool,
+    ) -> None:
+        if not node.is_alive:
+            return
+        event = HandoverFinished(
+            action.host_id,
+            action.service_id,
+            action.handover_id,
+            is_acknowledged,
+        )
+        self._do(node, node.plane.on_handover_finished(event, self.now_s))
+
+    def _count(self, node: Node, kind: str, size_bytes: int) -> None:
+        self.control_bytes[node.host_id, int(self.now_s)] += size_bytes
+        self.control_kinds[kind] += size_bytes
