Stop the platform stand-in without waiting for slowed calls

Cause: one contract test took 60 s, because stopping the stand-in waited for a call that it slows down itself. Ruled out: cancelling calls whose client is gone (a real write goes on after its client has left). Change: the stand-in waits 0.1 s for open calls when it stops; aiohttp takes 0 for no limit. Conclusion: no test waits for a clock of a minute.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -210,7 +210,7 @@
                 web.post('/faults', self._post_faults),
             ]
         )
-        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
         await self._runner.setup()
         site = web.TCPSite(self._runner, '127.0.0.1', port)
         await site.start()
