--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -29,7 +29,7 @@
 _POLL_S: Final = 0.05
 _OK: Final = 200
 _SAMPLE: Final = re.compile(
-    r'^(?P<name>currantshore_\w+)(?P<labels>\{[^}]*\})? (?P<number>\S+)$',
+    r'^(?P<name>\w+)(?P<labels>\{[^}]*\})? (?P<number>\S+)$',
     re.MULTILINE,
 )
 
