Keep the backend server of a flow that is opened again

Cause: after the kill of a balancer, callers open their flows again at another one; it did not know the flow and picked the least loaded backend server. Ruled out: health verdicts (flows_lost_backend was 0) and the drain (no reset before the kill). Change: Open carries the last token, whose backend server is kept; a balancer is ready only when its owner state is warm, which is also announced in heartbeats. Conclusion: the token is the record that survives every balancer.

--- a/src/currantshore/core.py
+++ b/src/currantshore/core.py
@@ -135,8 +135,14 @@
         return self._pool
 
     def is_ready(self) -> bool:
-        """Tell whether the core can place flows."""
-        return self._pool is not None and not self._is_leaving
+        """Tell whether the core can place flows.
+
+        A balancer that has just started is not ready before its peers have
+        told it of the flows that the hash table does not explain.
+        """
+        if self._pool is None or self._is_leaving:
+            return False
+        return self.flows.is_warm()
 
     def is_idle(self) -> bool:
         """Tell whether a leaving core has nothing left to hand over or run."""
@@ -197,6 +203,7 @@
         """Run everything that is due; call it at least every 50 ms."""
         self.membership.set_demands(self.requests.demands())
         self.membership.set_prepared(self.flows.is_prepared())
+        self.membership.set_warm(self.flows.is_warm())
         self.membership.set_successor(self.requests.successor)
         actions = self.membership.tick(now_s)
         actions += self.health.tick(now_s)
@@ -233,13 +240,7 @@
         key = flow_key(event.service_id, event.caller)
         match message:
             case wire.Open():
-                return self.flows.on_open(
-                    event.service_id,
-                    event.caller,
-                    key,
-                    message.first_request_id,
-                    now_s,
-                )
+                return self._on_open(event, key, message, now_s)
             case wire.Data():
                 return self._on_data(event, key, message, now_s)
             case wire.Close():
@@ -247,6 +248,27 @@
             case wire.Request() | wire.Cancel():
                 return self._on_request(event, key, message, now_s)
 
+    def _on_open(
+        self,
+        event: CallerDatagram,
+        key: int,
+        message: wire.Open,
+        now_s: float,
+    ) -> _Actions:
+        previous = None
+        if message.token:
+            previous = self._unseal(message.token, key, event.service_id)
+            if previous is None:
+                return self._refuse(event, 0, ResultCode.TOKEN_INVALID)
+        return self.flows.on_open(
+            event.service_id,
+            event.caller,
+            key,
+            message.first_request_id,
+            now_s,
+            previous,
+        )
+
     def _on_data(
         self,
         event: CallerDatagram,
@@ -273,7 +295,10 @@
     ) -> _Actions:
         token = self._unseal(message.token, key, event.service_id)
         if token is None:
-            return self._refuse_token(event, message)
+            code = ResultCode.TOKEN_INVALID
+            if not message.token:
+                code = ResultCode.TOKEN_MISSING
+            return self._refuse(event, message.request_id, code)
         match message:
             case wire.Request():
                 return self.requests.on_request(
@@ -304,19 +329,15 @@
         except TokenError:
             return None
 
-    def _refuse_token(
+    def _refuse(
         self,
         event: CallerDatagram,
-        message: wire.Request | wire.Cancel,
+        request_id: int,
+        code: ResultCode,
     ) -> _Actions:
-        code = ResultCode.TOKEN_INVALID
-        if not message.token:
-            code = ResultCode.TOKEN_MISSING
         self.counters.refuse(code)
-        refusal = wire.Refusal(message.request_id, code, 0)
-        return [
-            SendToCaller(event.service_id, event.caller, wire.encode(refusal)),
-        ]
+        refusal = wire.encode(wire.Refusal(request_id, code, 0))
+        return [SendToCaller(event.service_id, event.caller, refusal)]
 
     def _on_backend(self, event: BackendDatagram, now_s: float) -> _Actions:
         try:
--- a/src/currantshore/internal/flowplane.py
+++ b/src/currantshore/internal/flowplane.py
@@ -148,13 +148,20 @@
         flow_key: int,
         first_request_id: int,
         now_s: float,
+        previous: FlowToken | None = None,
     ) -> list[Action]:
-        """Answer ``Open`` with a token for the least loaded backend server."""
+        """Answer ``Open`` with a token.
+
+        A flow that is opened again keeps the backend server of its
+        ``previous`` token; a new one gets the least loaded.
+        """
         flows = self._services.get(service_id)
         if flows is None:
             return self._drop(DropReason.UNKNOWN_SERVICE)
         placer = flows.placer
         slot = placer.find(flow_key)
+        if previous is not None:
+            slot = placer.backends.number(previous.backend_id)
         if not placer.backends.is_usable(slot):
             slot = placer.least_loaded()
         if slot == NO_SLOT:
@@ -291,6 +298,12 @@
             for flows in self._services.values()
         )
 
+    def is_warm(self) -> bool:
+        """Tell whether this balancer can place flows as an owner."""
+        return all(
+            flows.placer.change.is_warm for flows in self._services.values()
+        )
+
     def tick(self, now_s: float) -> list[Action]:
         """Expire flows, retry and go on with changes; called every 50 ms."""
         self._peers.note_tick(now_s)
--- a/src/currantshore/wire.py
+++ b/src/currantshore/wire.py
@@ -37,11 +37,13 @@
     """Asks for a flow token.
 
     ``first_request_id`` is the lowest request id that the caller will use with
-    the new token; a caller that opens a flow again passes an id above those
-    that it used before.
+    the new token. A caller that opens a flow again, because its executor is
+    gone, passes an id above those that it used before and its last ``token``,
+    so that the flow keeps its backend server.
     """
 
     first_request_id: int = 1
+    token: bytes = b''
 
 
 class Opened(Message, frozen=True, array_like=True, tag='opened'):
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -109,9 +109,10 @@
         """Get a token; tell whether one came."""
         opened: asyncio.Future[bytes] = self._loop.create_future()
         self._opened = opened
-        payload = wire.encode(wire.Open(self._next_request_id))
+        payload = wire.encode(wire.Open(self._next_request_id, self.token))
         token = await self._repeat(payload, opened, timeout_s)
-        self.token = token or b''
+        # Without an answer the last token still names the backend server.
+        self.token = token or self.token
         return token is not None
 
     async def exchange(self, timeout_s: float = _FIRST_ANSWER_S) -> bool:
