--- a/src/currantshore/internal/admission.py
+++ b/src/currantshore/internal/admission.py
@@ -13,12 +13,17 @@
 # Slot time used longer ago than this hardly counts for guaranteed shares.
 _SHARE_WINDOW_S: Final = 5.0
 
+# Without any credit, a class whose work comes in bursts gets less than its
+# share; see docs/measurements/overload.md.
+_CREDIT_S: Final = 0.5
+
+# Requests that come at random and have deadlines need more than their mean
+# slot time; see docs/measurements/overload.md.
+_SHARE_SLACK: Final = 1.2
+
 # Charged for a run while the class has no mean run time yet.
 _FIRST_RUN_S: Final = 0.02
 
-# Less time than this part of a mean run is too little for a waiting request.
-_LEAST_RUN_RATIO: Final = 0.5
-
 _MS_PER_S: Final = 1000
 _MIN_RETRY_AFTER_MS: Final = 20
 
@@ -37,16 +42,19 @@
 
     A class below its guaranteed share comes first, in urgency order, then the
     most urgent class with work. Shares are of slot time, so a class with long
-    runs gets no more than one with short runs. A class that had no work does
-    not save up its share; otherwise it could block urgent work for seconds.
+    runs gets no more than one with short runs. A class that had no work saves
+    up its share for 0.5 s only; otherwise it could block urgent work for
+    seconds.
     """
 
-    __slots__ = ('_classes', '_faded_s')
+    __slots__ = ('_classes', '_faded_s', '_slack', '_total_s')
 
     def __init__(self) -> None:
         """Start without classes."""
         self._classes: dict[str, ClassQueue] = {}
         self._faded_s = 0.0
+        self._total_s = 0.0
+        self._slack = 1.0
 
     def __len__(self) -> int:
         """Count the waiting requests."""
@@ -60,6 +68,8 @@
             queue = held.pop(priority.name, None) or ClassQueue(priority)
             queue.priority = priority
             self._classes[priority.name] = queue
+        shares = sum(each.guaranteed_share_ratio for each in classes)
+        self._slack = min(_SHARE_SLACK, 1 / shares) if shares else 1
         return [work for queue in held.values() for work in queue.drain()]
 
     def offer(self, work: Work, slots: int, now_s: float) -> Rejection | None:
@@ -78,7 +88,7 @@
         if queue.is_full():
             rejection = _make_room(queue, work, wait_s)
         if rejection is None or rejection.work is not work:
-            self._activate(queue)
+            self._activate(queue, slots)
             queue.push(work)
         return rejection
 
@@ -99,10 +109,11 @@
                 reserved += queue.priority.guaranteed_share_ratio
         open_ratio = max(1 - reserved, own.priority.guaranteed_share_ratio)
         by_urgency_s = (urgent_s + own_s) / (slots * open_ratio or 1)
-        share = own.priority.guaranteed_share_ratio
+        share = own.priority.guaranteed_share_ratio * self._slack
         if not share:
             return by_urgency_s
-        return min(by_urgency_s, own_s / (slots * share))
+        credit_s = max(self._due_s(own) - own.used_s, 0)
+        return min(by_urgency_s, max(own_s - credit_s, 0) / (slots * share))
 
     def take(self) -> Work | None:
         """Take the request that runs next."""
@@ -138,7 +149,7 @@
     def is_too_late(self, work: Work, now_s: float) -> bool:
         """Tell whether ``work`` cannot finish by its deadline any more."""
         queue = self._classes.get(work.request.priority_class)
-        least_s = queue.mean_run_s * _LEAST_RUN_RATIO if queue else 0
+        least_s = queue.mean_run_s if queue else 0
         # A request that did not wait is tried in any case; the mean run time
         # could never fall again if every short deadline were refused.
         if work.arrived_s >= now_s:
@@ -162,13 +173,19 @@
         if queue is not None:
             self._fade(now_s)
             work.charged_s = queue.mean_run_s or _FIRST_RUN_S
-            queue.used_s += work.charged_s
+            self._total_s += work.charged_s
+            # Slot time above the share is a class's to use when others leave
+            # it free; it must not count against the share in a later flood.
+            most_s = self._due_s(queue) + work.charged_s
+            queue.used_s = min(queue.used_s + work.charged_s, most_s)
 
     def on_end(self, work: Work, run_s: float, *, is_answered: bool) -> None:
         """Correct the charge by the slot time that a run really took."""
         queue = self._classes.get(work.request.priority_class)
         if queue is not None:
-            queue.used_s = max(queue.used_s + run_s - work.charged_s, 0)
+            excess_s = run_s - work.charged_s
+            queue.used_s = max(queue.used_s + excess_s, 0)
+            self._total_s = max(self._total_s + excess_s, 0)
             if is_answered:
                 queue.learn(run_s)
 
@@ -188,26 +205,28 @@
             return ResultCode.DEADLINE_TOO_SHORT
         return None
 
-    def _activate(self, queue: ClassQueue) -> None:
-        if queue.size:
-            return
-        total_s = sum(each.used_s for each in self._classes.values())
-        due_s = total_s * queue.priority.guaranteed_share_ratio
-        one_run_s = queue.mean_run_s or _FIRST_RUN_S
-        queue.used_s = max(queue.used_s, due_s - one_run_s)
+    def _activate(self, queue: ClassQueue, slots: int) -> None:
+        if not queue.size:
+            share = queue.priority.guaranteed_share_ratio
+            least_s = self._due_s(queue) - share * slots * _CREDIT_S
+            queue.used_s = max(queue.used_s, least_s)
+
+    def _due_s(self, queue: ClassQueue) -> float:
+        """Return the slot time that the guaranteed share is worth."""
+        share = queue.priority.guaranteed_share_ratio * self._slack
+        return self._total_s * share
 
     def _next_class(self) -> ClassQueue | None:
-        total_s = sum(queue.used_s for queue in self._classes.values())
         waiting = [queue for queue in self._classes.values() if queue.size]
         for queue in waiting:
-            share = queue.priority.guaranteed_share_ratio
-            if queue.used_s < share * total_s:
+            if queue.used_s < self._due_s(queue):
                 return queue
         return waiting[0] if waiting else None
 
     def _fade(self, now_s: float) -> None:
         factor = math.exp((self._faded_s - now_s) / _SHARE_WINDOW_S)
         self._faded_s = now_s
+        self._total_s *= factor
         for queue in self._classes.values():
             queue.used_s *= factor
 
--- a/src/currantshore/internal/capacity.py
+++ b/src/currantshore/internal/capacity.py
@@ -17,6 +17,7 @@
 class AdmissionMode(enum.Enum):
     """How much a balancer limits itself; all but the first are baselines."""
 
+    FAIR_SHARES = enum.auto()
     WEIGHTED_SHARES = enum.auto()
     EQUAL_SHARES = enum.auto()
     LIMITS_ONLY = enum.auto()
@@ -56,7 +57,11 @@
         """Runs that are out, on any backend server of the service."""
         return self._outstanding.total()
 
-    def configure(self, backends: tuple[BackendServer, ...]) -> None:
+    def configure(
+        self,
+        backends: tuple[BackendServer, ...],
+        now_s: float,
+    ) -> None:
         """Send new runs only to ``backends``."""
         self._backends = backends
         held = self._limits
@@ -67,13 +72,13 @@
                 limit = AdaptiveLimit(backend.slot_count)
             limit.cap(backend.slot_count)
             self._limits[backend.backend_id] = limit
-        self._share()
+        self._share(now_s)
 
-    def on_demands(self, demands: Mapping[str, int]) -> None:
+    def on_demands(self, demands: Mapping[str, int], now_s: float) -> None:
         """Use the demand of each live balancer, this one included."""
         if demands != self._demands:
             self._demands = demands
-            self._share()
+            self._share(now_s)
 
     def is_usable(self, backend_id: str) -> bool:
         """Tell whether the health verdict is good."""
@@ -83,10 +88,11 @@
         """Tell whether a backend server outside ``tried`` takes runs."""
         return any(True for _ in self._usable(tried))
 
-    def slot_count(self) -> int:
+    def slot_count(self, now_s: float) -> int:
         """Return the runs that this balancer may have out, at least 1."""
         allowed = sum(
-            self._allowance(backend) for backend in self._usable(_NONE_TRIED)
+            self._allowance(backend, now_s)
+            for backend in self._usable(_NONE_TRIED)
         )
         return max(1, allowed)
 
@@ -102,12 +108,19 @@
             for backend in self._usable(tried)
             if not self._limits[backend.backend_id].is_paused(now_s)
         ]
-        free = [backend for backend in ready if self._free(backend) > 0]
+        free = [backend for backend in ready if self._free(backend, now_s) > 0]
         # A balancer without a share still has one request outstanding, so
         # that a service never stops at a host that lost every slot draw.
         if not free and not self.outstanding:
             free = ready
-        return self._best(free, preferred)
+        for backend in free:
+            if backend.backend_id == preferred:
+                return backend
+        return max(
+            free,
+            key=lambda each: self._free(each, now_s),
+            default=None,
+        )
 
     def take(self, backend_id: str) -> None:
         """Count a run as out."""
@@ -143,15 +156,20 @@
 
     def _adapts(self) -> bool:
         return self._mode in {
+            AdmissionMode.FAIR_SHARES,
             AdmissionMode.WEIGHTED_SHARES,
             AdmissionMode.LIMITS_ONLY,
         }
 
-    def _share(self) -> None:
-        if self._mode is AdmissionMode.EQUAL_SHARES:
-            self._shares.update_equally(self._backends, tuple(self._demands))
-        else:
-            self._shares.update(self._backends, self._demands)
+    def _share(self, now_s: float) -> None:
+        shares = self._shares
+        match self._mode:
+            case AdmissionMode.EQUAL_SHARES:
+                shares.update_equally(self._backends, self._demands, now_s)
+            case AdmissionMode.WEIGHTED_SHARES:
+                shares.update_weighted(self._backends, self._demands, now_s)
+            case _:
+                shares.update(self._backends, self._demands, now_s)
 
     def _usable(self, tried: frozenset[str]) -> Iterator[BackendServer]:
         return (
@@ -161,25 +179,15 @@
             and self._health.is_usable(backend.backend_id)
         )
 
-    def _allowance(self, backend: BackendServer) -> int:
+    def _allowance(self, backend: BackendServer, now_s: float) -> int:
         ratio = self._health.weight_ratio(backend.backend_id)
         allowed = self._limits[backend.backend_id].allowed(ratio)
         if self._mode is AdmissionMode.LIMITS_ONLY:
             return allowed
-        return min(allowed, self._shares.share(backend.backend_id))
+        return min(allowed, self._shares.share(backend.backend_id, now_s))
 
-    def _free(self, backend: BackendServer) -> int:
+    def _free(self, backend: BackendServer, now_s: float) -> int:
         if self._mode is AdmissionMode.UNLIMITED:
             return 1
         taken = self._outstanding[backend.backend_id]
-        return self._allowance(backend) - taken
-
-    def _best(
-        self,
-        free: list[BackendServer],
-        preferred: str,
-    ) -> BackendServer | None:
-        for backend in free:
-            if backend.backend_id == preferred:
-                return backend
-        return max(free, key=self._free, default=None)
+        return self._allowance(backend, now_s) - taken
--- a/src/currantshore/internal/executor.py
+++ b/src/currantshore/internal/executor.py
@@ -42,7 +42,7 @@
         incarnation: int,
         counters: Counters,
         health: BackendHealth,
-        mode: AdmissionMode = AdmissionMode.WEIGHTED_SHARES,
+        mode: AdmissionMode = AdmissionMode.FAIR_SHARES,
     ) -> None:
         """Start without services and requests."""
         self._host_id = host_id
@@ -66,11 +66,11 @@
     ) -> None:
         """Use the services of a new configuration."""
         for service_id in self._runners.keys() - services.keys():
-            self._runners[service_id].retire()
+            self._runners[service_id].retire(now_s)
             if not self._runners[service_id].demand():
                 self._runners.pop(service_id)
         for service in services.values():
-            runner = self._runner(service)
+            runner = self._runner(service, now_s)
             runner.configure(service, now_s)
         timeouts = [each.flow_idle_timeout_s for each in services.values()]
         if timeouts:
@@ -80,7 +80,8 @@
         """Share slots with the balancers that are live now."""
         self._view = view
         for service_id, runner in self._runners.items():
-            runner.capacity.on_demands(self._demands_of(service_id))
+            demands = self._demands_of(service_id)
+            runner.capacity.on_demands(demands, now_s)
             runner.dispatch(now_s)
 
     def state(self, work: Work, first_request_id: int) -> IdState:
@@ -171,12 +172,16 @@
             for service_id, runner in self._runners.items()
         }
 
-    def _runner(self, service: ServiceSnapshot) -> ServiceRunner:
+    def _runner(
+        self,
+        service: ServiceSnapshot,
+        now_s: float,
+    ) -> ServiceRunner:
         held = self._runners.get(service.service_id)
         if held is not None:
             return held
         capacity = Capacity(self._host_id, self._health, self._mode)
-        capacity.on_demands(self._demands_of(service.service_id))
+        capacity.on_demands(self._demands_of(service.service_id), now_s)
         runner = ServiceRunner(
             service,
             capacity,
--- a/src/currantshore/internal/requesthandover.py
+++ b/src/currantshore/internal/requesthandover.py
@@ -32,8 +32,9 @@
 
     ``heir`` is the incarnation of the successor that the ids are for. Another
     process on that host must not use them: it does not know what the process
-    before it ran since the handover. ``processes`` are the executors (host id, incarnation) whose ids these
-    are: the sender and those that it succeeded.
+    before it ran since the handover. ``processes`` are the executors (host
+    id, incarnation) whose ids these are: the sender and those that it
+    succeeded.
     """
 
     heir: int
--- a/src/currantshore/internal/requestplane.py
+++ b/src/currantshore/internal/requestplane.py
@@ -81,7 +81,7 @@
         peer_key: bytes,
         health: BackendHealth,
         rng: random.Random,
-        mode: AdmissionMode = AdmissionMode.WEIGHTED_SHARES,
+        mode: AdmissionMode = AdmissionMode.FAIR_SHARES,
     ) -> 'RequestPlane':
         """Build the plane of the process (``host_id``, ``incarnation``).
 
--- a/src/currantshore/internal/servicerunner.py
+++ b/src/currantshore/internal/servicerunner.py
@@ -1,5 +1,6 @@
 """Runs the requests of one service on its backend servers."""
 
+import math
 from typing import Final
 
 from currantshore import wire
@@ -19,6 +20,8 @@
 # A verdict about a backend server may be a short mistake.
 _LOST_AFTER_S: Final = 0.5
 
+_PEAK_WINDOW_S: Final = 2.0
+
 
 class ServiceRunner:
     """Admission, runs and retries of one service."""
@@ -28,6 +31,8 @@
         '_capacity',
         '_counters',
         '_outcomes',
+        '_peak',
+        '_peak_s',
         '_queue',
         '_run_ids',
         '_runs',
@@ -48,6 +53,8 @@
         self._outcomes = outcomes
         self._run_ids = run_ids
         self._counters = counters
+        self._peak = 0.0
+        self._peak_s = 0.0
         self._budget = RetryBudget()
         self._queue = AdmissionQueue()
         self._runs: dict[int, ActiveRun] = {}
@@ -58,20 +65,24 @@
         return self._capacity
 
     def demand(self) -> int:
-        """Return the outstanding and waiting requests."""
-        return len(self._runs) + len(self._queue)
+        """Return the recent peak of outstanding and waiting requests.
+
+        A momentary count would move slots at every heartbeat, and each move
+        can cause a shed.
+        """
+        return max(self._in_progress(), int(self._peak))
 
     def configure(self, service: ServiceSnapshot, now_s: float) -> None:
         """Use a new configuration; runs that are out go on."""
         self._service = service
-        self._capacity.configure(service.takes_new_flows())
+        self._capacity.configure(service.takes_new_flows(), now_s)
         for work in self._queue.configure(service.priority_classes):
             self._outcomes.refuse(work, ResultCode.UNKNOWN_PRIORITY_CLASS)
         self.dispatch(now_s)
 
-    def retire(self) -> None:
+    def retire(self, now_s: float) -> None:
         """Refuse what waits; the service is no longer configured."""
-        self._capacity.configure(())
+        self._capacity.configure((), now_s)
         self._refuse_waiting()
 
     def offer(self, work: Work, now_s: float) -> None:
@@ -84,7 +95,7 @@
                 _RETRY_AFTER_MS,
             )
             return
-        slots = self._capacity.slot_count()
+        slots = self._capacity.slot_count(now_s)
         rejection = self._queue.offer(work, slots, now_s)
         if rejection is not None:
             self._outcomes.refuse(
@@ -151,6 +162,7 @@
 
     def tick(self, now_s: float) -> None:
         """Give up on late requests and runs; use slots that became free."""
+        self._note_peak(now_s)
         for run in list(self._runs.values()):
             self._check_run(run, now_s)
         if not self._queue:
@@ -182,7 +194,7 @@
             self._outcomes.refuse(
                 work,
                 ResultCode.BACKEND_SERVER_SHED,
-                self._retry_after_ms(work),
+                self._retry_after_ms(work, now_s),
             )
             return True
         backend = self._capacity.pick(work.backend_id, work.tried, now_s)
@@ -210,6 +222,14 @@
         order = wire.encode(run.to_order(now_s))
         self._outcomes.act(SendToBackend(run.target, order))
 
+    def _note_peak(self, now_s: float) -> None:
+        factor = math.exp((self._peak_s - now_s) / _PEAK_WINDOW_S)
+        self._peak_s = now_s
+        self._peak = max(self._peak * factor, float(self._in_progress()))
+
+    def _in_progress(self) -> int:
+        return len(self._runs) + len(self._queue)
+
     def _check_run(self, run: ActiveRun, now_s: float) -> None:
         if run.expires_s <= now_s:
             self._give_up(
@@ -243,7 +263,7 @@
         work = run.work
         if work.request.is_repeatable and self._retry(work, reason, now_s):
             return
-        self._outcomes.refuse(work, code, self._retry_after_ms(work))
+        self._outcomes.refuse(work, code, self._retry_after_ms(work, now_s))
 
     def _retry(self, work: Work, reason: RetryReason, now_s: float) -> bool:
         if not self._queue.accepts(work, now_s):
@@ -284,8 +304,8 @@
         code = ResultCode.DEADLINE_TOO_SHORT
         if work.deadline_s <= now_s:
             code = ResultCode.DEADLINE_PASSED
-        self._outcomes.refuse(work, code, self._retry_after_ms(work))
+        self._outcomes.refuse(work, code, self._retry_after_ms(work, now_s))
 
-    def _retry_after_ms(self, work: Work) -> int:
-        slots = self._capacity.slot_count()
+    def _retry_after_ms(self, work: Work, now_s: float) -> int:
+        slots = self._capacity.slot_count(now_s)
         return max(1, int(self._queue.wait_s(work, slots) * _MS_PER_S))
