Choose few executors for a service with few slots

Change: executorchoice names one executor for four slots, at least two; slots are shared among them and other hosts with demand. Views are applied at most four times a second unless the hosts changed.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -24,6 +24,7 @@
     SendToBackend,
     SendToCaller,
 )
+from currantshore.internal.executorchoice import executor_hosts
 from currantshore.internal.requestplane import RequestPlane
 from currantshore.internal.snapshot import (
     BackendServer,
@@ -36,16 +37,12 @@
 from currantshore.internal.views import LiveView, PeerView
 
 _SERVICE: Final = 'dockwatch'
-_HOSTS: Final = tuple(f'host-{number}' for number in range(7))
 _CLASSES: Final = (
     PriorityClass('urgent', 0, 0.3),
     PriorityClass('normal', 1, 0.2),
     PriorityClass('bulk', 2, 0.1),
 )
-_BACKENDS: Final = tuple(
-    BackendServer(f'server-{number}', 'harbor', wire.Endpoint('s', number), 3)
-    for number in range(7)
-)
+_SLOTS: Final = 3
 _CALLERS_OF_CLASS: Final = 40
 
 _RUN_S: Final = 0.05
@@ -56,7 +53,7 @@
 
 # Runs that a slot can do in a second, when each next run takes one round trip
 # to start.
-_CAPACITY_PER_S: Final = 21 / (_RUN_S + 2 * _DELAY_S)
+_SLOT_RATE_PER_S: Final = 1 / (_RUN_S + 2 * _DELAY_S)
 
 # Offered load before and after the flood, as a part of the capacity.
 _LOADS: Final = {'urgent': 0.35, 'normal': 0.25, 'bulk': 0.12}
@@ -92,6 +89,28 @@
     before_s: float
     flood_s: float
     after_s: float
+    host_count: int = 7
+    server_count: int = 7
+
+    @property
+    def capacity_per_s(self) -> float:
+        return self.server_count * _SLOTS * _SLOT_RATE_PER_S
+
+    @property
+    def hosts(self) -> list[str]:
+        return [f'host-{number}' for number in range(self.host_count)]
+
+    @property
+    def backends(self) -> tuple[BackendServer, ...]:
+        return tuple(
+            BackendServer(
+                f'server-{number}',
+                'harbor',
+                wire.Endpoint('s', number),
+                _SLOTS,
+            )
+            for number in range(self.server_count)
+        )
 
     def phase(self, sent_s: float) -> str:
         if sent_s < _WARM_UP_S:
@@ -135,25 +154,49 @@
     sent_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Design:
+    """An admission mode, and whether tokens name few executors."""
+
+    name: str
+    mode: AdmissionMode
+    chooses_executors: bool = False
+
+
+_DESIGNS: Final = (
+    _Design('design', AdmissionMode.FAIR_SHARES, chooses_executors=True),
+    _Design('fair_shares_any_executor', AdmissionMode.FAIR_SHARES),
+    _Design('weighted_rendezvous', AdmissionMode.WEIGHTED_SHARES),
+    _Design('equal_shares', AdmissionMode.EQUAL_SHARES),
+    _Design('limits_only', AdmissionMode.LIMITS_ONLY),
+    _Design('no_admission', AdmissionMode.UNLIMITED),
+)
+
+
 class _Model:
     """One run of one scenario with one design."""
 
     def __init__(
         self,
         scenario: _Scenario,
-        mode: AdmissionMode,
+        design: _Design,
         seed: int,
     ) -> None:
         self._scenario = scenario
+        self._design = design
         self._rng = random.Random(seed)
         self._events: list[_Timer] = []
         self._order = itertools.count()
         self._now_s = 0.0
-        self._servers = {each.endpoint: _Server() for each in _BACKENDS}
+        self._hosts = scenario.hosts
+        self._backends = scenario.backends
+        self._servers = {each.endpoint: _Server() for each in self._backends}
         self._counters = Counters()
         self._planes = {
-            host_id: _make_plane(host_id, self._counters, mode)
-            for host_id in _HOSTS
+            host_id: _make_plane(
+                host_id, self._counters, design.mode, self._backends
+            )
+            for host_id in self._hosts
         }
         self._ids: Counter[wire.Endpoint] = Counter()
         self._sendings: dict[tuple[wire.Endpoint, int], _Sending] = {}
@@ -177,7 +220,7 @@
             self._scenario.flood_start_s,
             self._scenario.flood_end_s,
         )
-        for host_id in _HOSTS:
+        for host_id in self._hosts:
             self._at(self._rng.random() * _TICK_S, self._tick, host_id)
             self._at(self._rng.random() * _HEARTBEAT_S, self._gossip, host_id)
         while self._events:
@@ -207,7 +250,7 @@
                 group: round(
                     good[group]['flood']
                     / self._scenario.flood_s
-                    / _CAPACITY_PER_S,
+                    / self._scenario.capacity_per_s,
                     4,
                 )
                 for group in good
@@ -258,13 +301,21 @@
     ) -> list[_Caller]:
         callers = []
         for number in range(count):
-            host_id = _HOSTS[number % len(_HOSTS)]
-            backend = self._rng.choice(_BACKENDS)
-            token = FlowToken(_SERVICE, backend.backend_id, host_id, 1, 1)
             endpoint = wire.Endpoint('c', next(ports))
+            host_id = self._hosts[number % len(self._hosts)]
+            if self._design.chooses_executors:
+                flow_key = hashing.flow_key(_SERVICE, endpoint)
+                host_id = self._choose(flow_key)
+            backend = self._rng.choice(self._backends)
+            token = FlowToken(_SERVICE, backend.backend_id, host_id, 1, 1)
             callers.append(_Caller(endpoint, host_id, token, group))
         return callers
 
+    def _choose(self, flow_key: int) -> str:
+        service = _make_service(self._backends)
+        chosen = executor_hosts(service, tuple(sorted(self._hosts)))
+        return chosen[flow_key % len(chosen)]
+
     def _start(
         self,
         callers: Sequence[_Caller],
@@ -273,7 +324,7 @@
         start_s: float,
         end_s: float,
     ) -> None:
-        rate_per_s = load * _CAPACITY_PER_S / max(len(callers), 1)
+        rate_per_s = load * self._scenario.capacity_per_s / max(len(callers), 1)
         for caller in callers:
             sent_s = start_s + self._rng.expovariate(rate_per_s)
             while sent_s < end_s:
@@ -336,7 +387,7 @@
         match wire.decode_order(payload):
             case wire.CancelRun(_, run_id):
                 server.running.discard(run_id)
-            case wire.Run() as order if len(server.running) >= 3:
+            case wire.Run() as order if len(server.running) >= _SLOTS:
                 server.shed += 1
                 shed = wire.RunShed(_SERVICE, order.run_id, 20)
                 self._after(
@@ -443,6 +494,7 @@
     host_id: str,
     counters: Counters,
     mode: AdmissionMode,
+    backends: tuple[BackendServer, ...],
 ) -> RequestPlane:
     plane = RequestPlane.from_config(
         host_id,
@@ -453,17 +505,21 @@
         random.Random(1),
         mode,
     )
-    service = ServiceSnapshot(
+    service = _make_service(backends)
+    members = PoolMembers('pool', 'lakeshore', ('harbor',), ())
+    plane.configure(PoolSnapshot(members, (service,)), 0)
+    return plane
+
+
+def _make_service(backends: tuple[BackendServer, ...]) -> ServiceSnapshot:
+    return ServiceSnapshot(
         _SERVICE,
         'lakeshore',
         wire.Endpoint('a', 1),
         2048,
-        _BACKENDS,
+        backends,
         _CLASSES,
     )
-    members = PoolMembers('pool', 'lakeshore', ('harbor',), ())
-    plane.configure(PoolSnapshot(members, (service,)), 0)
-    return plane
 
 
 def _scenarios(phase_s: float) -> list[_Scenario]:
@@ -471,6 +527,24 @@
         _Scenario('bulk_flood', 'bulk', 140, phase_s, phase_s, phase_s),
         _Scenario('urgent_flood', 'urgent', 140, phase_s, phase_s, phase_s),
         _Scenario('greedy_caller', 'normal', 1, phase_s, phase_s, phase_s),
+        _Scenario(
+            'bulk_flood_64_balancers',
+            'bulk',
+            140,
+            phase_s,
+            phase_s,
+            phase_s,
+            host_count=64,
+        ),
+        _Scenario(
+            'bulk_flood_6_slots',
+            'bulk',
+            140,
+            phase_s,
+            phase_s,
+            phase_s,
+            server_count=2,
+        ),
     ]
 
 
@@ -479,21 +553,21 @@
     parser = argparse.ArgumentParser()
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--phase-s', type=float, default=6.0)
-    parser.add_argument('--mode', default='')
+    parser.add_argument('--design', default='')
     arguments = parser.parse_args()
     figures: _Json = {}
     for scenario in _scenarios(arguments.phase_s):
         figures[scenario.name] = {}
-        for mode in AdmissionMode:
-            if arguments.mode and mode.name != arguments.mode:
+        for design in _DESIGNS:
+            if arguments.design not in {'', design.name}:
                 continue
-            model = _Model(scenario, mode, arguments.seed)
+            model = _Model(scenario, design, arguments.seed)
             model.run()
-            figures[scenario.name][mode.name.lower()] = model.report()
+            figures[scenario.name][design.name] = model.report()
     inputs = {
         'seed': arguments.seed,
         'phase_s': arguments.phase_s,
-        'capacity_per_s': round(_CAPACITY_PER_S, 1),
+        'slot_rate_per_s': round(_SLOT_RATE_PER_S, 2),
         'load_of_capacity': _LOADS,
         'flood_of_capacity': _FLOOD_RATIO,
         'guaranteed_shares': {
--- a/src/currantshore/internal/executor.py
+++ b/src/currantshore/internal/executor.py
@@ -12,6 +12,7 @@
 from currantshore.codes import DropReason, ResultCode
 from currantshore.internal.capacity import AdmissionMode, Capacity
 from currantshore.internal.counters import Count, Counters
+from currantshore.internal.executorchoice import executor_hosts
 from currantshore.internal.outcomes import Outcomes
 from currantshore.internal.requestlog import IdState
 from currantshore.internal.runs import RunIds, Work
@@ -21,16 +22,21 @@
 
 _RETRY_AFTER_MS: Final = 1000
 
+# Half the heartbeat interval.
+_SHARE_INTERVAL_S: Final = 0.25
+
 
 class Executor:
     """The requests of one process, by service."""
 
     __slots__ = (
+        '_applied_s',
         '_counters',
         '_health',
         '_host_id',
         '_mode',
         '_outcomes',
+        '_owners',
         '_run_ids',
         '_runners',
         '_view',
@@ -53,6 +59,8 @@
         self._run_ids = RunIds(host_id, incarnation)
         self._runners: dict[str, ServiceRunner] = {}
         self._view: LiveView | None = None
+        self._owners: tuple[str, ...] = ()
+        self._applied_s = float('-inf')
 
     @property
     def outcomes(self) -> Outcomes:
@@ -79,10 +87,13 @@
     def on_live_view(self, view: LiveView, now_s: float) -> None:
         """Share slots with the balancers that are live now."""
         self._view = view
-        for service_id, runner in self._runners.items():
-            demands = self._demands_of(service_id)
-            runner.capacity.on_demands(demands, now_s)
-            runner.dispatch(now_s)
+        owners = tuple(sorted(view.owners()))
+        # Demands change with every heartbeat; a changed set of hosts is
+        # urgent, a changed demand is not.
+        is_due = now_s - self._applied_s >= _SHARE_INTERVAL_S
+        if owners != self._owners or is_due:
+            self._owners = owners
+            self._apply_view(now_s)
 
     def state(self, work: Work, first_request_id: int) -> IdState:
         """Tell whether the id of ``work`` is fresh here."""
@@ -181,7 +192,7 @@
         if held is not None:
             return held
         capacity = Capacity(self._host_id, self._health, self._mode)
-        capacity.on_demands(self._demands_of(service.service_id), now_s)
+        capacity.on_demands(self._demands_of(service), now_s)
         runner = ServiceRunner(
             service,
             capacity,
@@ -192,15 +203,22 @@
         self._runners[service.service_id] = runner
         return runner
 
-    def _demands_of(self, service_id: str) -> dict[str, int]:
-        # A leaving balancer still runs what it has taken, so it keeps a share
-        # for as long as it reports demand.
+    def _apply_view(self, now_s: float) -> None:
+        self._applied_s = now_s
+        for runner in self._runners.values():
+            demands = self._demands_of(runner.service)
+            runner.capacity.on_demands(demands, now_s)
+            runner.dispatch(now_s)
+
+    def _demands_of(self, service: ServiceSnapshot) -> dict[str, int]:
+        # Other hosts count only with demand: they still run the requests of
+        # earlier tokens, for example while they leave.
         if self._view is None:
             return {self._host_id: 0}
-        demands = {
-            peer.host_id: peer.demands.get(service_id, 0)
-            for peer in self._view.peers.values()
-            if not peer.is_leaving or peer.demands.get(service_id, 0)
-        }
-        demands.setdefault(self._host_id, 0)
-        return demands
+        service_id = service.service_id
+        demands = dict.fromkeys(executor_hosts(service, self._owners), 0)
+        for peer in self._view.peers.values():
+            demand = peer.demands.get(service_id, 0)
+            if demand:
+                demands[peer.host_id] = demand
+        return demands or {self._host_id: 0}
--- a/src/currantshore/internal/servicerunner.py
+++ b/src/currantshore/internal/servicerunner.py
@@ -59,6 +59,11 @@
         self._queue = AdmissionQueue()
         self._runs: dict[int, ActiveRun] = {}
 
+    @property
+    def service(self) -> ServiceSnapshot:
+        """The configuration in use."""
+        return self._service
+
     @property
     def capacity(self) -> Capacity:
         """The backend servers' slots that this balancer may use."""
