--- a/src/currantshore/internal/fetching.py
+++ b/src/currantshore/internal/fetching.py
@@ -47,6 +47,11 @@
         self._offers: OrderedDict[int, _Offer] = OrderedDict()
         self._wait = float('-inf')
 
+    @property
+    def memory_size(self) -> int:
+        """Return the number of digests that are remembered."""
+        return len(self._past) + len(self._offers)
+
     def hold(self, digest: int, now_s: float) -> None:
         """Note that this node now holds ``digest``."""
         if digest == self._held:
--- a/src/currantshore/internal/health.py
+++ b/src/currantshore/internal/health.py
@@ -5,7 +5,7 @@
 """
 
 import random
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Final
 
 import msgspec
@@ -20,6 +20,7 @@
     SendToCaller,
     SendToPeer,
 )
+from currantshore.internal.reports import Reports
 from currantshore.internal.silence import SilenceTracker, SilentFlow
 from currantshore.internal.snapshot import (
     BackendServer,
@@ -31,10 +32,10 @@
 from currantshore.internal.views import LiveView
 from currantshore.internal.votes import QUORUM, Votes
 
-_REPORT_FANOUT: Final = 4
+_REPEAT_FANOUT: Final = 4
 _MAX_FULL_MESH_PEERS: Final = 7
-# Lost reports are made good by the repetition; it stays under 20 bytes a
-# second for each backend server that is down.
+# Makes good lost reports. Each peer of 64 hears it every 80 s, which costs a
+# prober less than 100 bytes a second while a backend server is down.
 _REPEAT_INTERVAL_S: Final = 5.0
 _EXPIRY_INTERVAL_S: Final = 1.0
 # Own traffic that works outweighs what peers say for this long.
@@ -50,7 +51,6 @@
     __slots__ = (
         '_backends',
         '_by_endpoint',
-        '_counters',
         '_expire_s',
         '_failing',
         '_host_id',
@@ -59,11 +59,13 @@
         '_pool',
         '_probe_id',
         '_repeat_s',
-        '_reported',
+        '_reports',
         '_returning',
         '_rng',
         '_schedule',
-        '_sequence',
+        '_sole',
+        '_turn',
+        '_newcomers',
         '_services',
         '_silence',
         '_suspicion',
@@ -72,6 +74,7 @@
         '_view',
         '_votes',
         '_weights',
+        'counters',
     )
 
     def __init__(
@@ -83,7 +86,7 @@
     ) -> None:
         """Use ``from_config``."""
         self._host_id = host_id
-        self._counters = counters
+        self.counters = counters
         self._peer_key = peer_key
         self._rng = rng
         self._view: LiveView | None = None
@@ -96,14 +99,16 @@
         self._returning: set[str] = set()
         self._unusable: frozenset[str] = frozenset()
         self._weights: dict[str, float] = {}
-        self._reported: dict[str, bool] = {}
+        self._reports = Reports(host_id)
+        self._newcomers: set[str] = set()
+        self._sole: frozenset[str] = frozenset()
+        self._turn = 0
         self._last_failure: dict[str, tuple[float, str]] = {}
         self._schedule = probing.ProbeSchedule()
         self._silence = SilenceTracker()
         self._suspicion = SelfSuspicion()
         self._votes = Votes()
         self._probe_id = 0
-        self._sequence = 0
         self._repeat_s = 0.0
         self._expire_s = 0.0
 
@@ -146,7 +151,7 @@
             self._verdicts.pop(backend_id)
             self._failing.discard(backend_id)
             self._returning.discard(backend_id)
-            self._reported.pop(backend_id, None)
+            self._reports.forget(backend_id)
         self._votes.expire(self._peers(), self._backends, now_s)
         self._silence.forget_backends(frozenset(self._backends))
         self._assign(now_s)
@@ -155,7 +160,9 @@
 
     def on_live_view(self, view: LiveView, now_s: float) -> list[Action]:
         """Share the probes anew among the live balancers."""
+        self._newcomers |= _newcomers(self._view, view) - {self._host_id}
         self._view = view
+        self._newcomers &= view.peers.keys()
         self._assign(now_s)
         return []
 
@@ -213,7 +220,7 @@
         """Note a sign of life; the reported load and state do not count."""
         backend_id = self._schedule.answer(reply.probe_id)
         if backend_id is None or self._by_endpoint.get(source) != backend_id:
-            self._counters.drop(DropReason.REPLY_UNMATCHED)
+            self.counters.drop(DropReason.REPLY_UNMATCHED)
             return []
         verdict = self._verdicts[backend_id]
         verdict.succeed(now_s, is_passive=False)
@@ -225,7 +232,7 @@
         report: peerwire.HealthReport,
         now_s: float,
     ) -> list[Action]:
-        """Take a peer's verdicts and pass on what is new."""
+        """Take the verdicts of a peer."""
         if report.sender == self._host_id:
             return []
         known = {
@@ -236,9 +243,7 @@
         if not self._votes.take(report, now_s):
             return []
         self._refresh(now_s)
-        if len(self._peers()) <= _MAX_FULL_MESH_PEERS:
-            return []
-        return self._send_report(report)
+        return []
 
     def tick(self, now_s: float) -> list[Action]:
         """Send due probes and reports; judge expired probes."""
@@ -277,10 +282,15 @@
         if view is None:
             return
         own: dict[str, str] = {}
+        sole: set[str] = set()
         for backend_id, backend in self._backends.items():
             is_down = self._verdicts[backend_id].is_down
-            if is_down or self._host_id in probing.probers(backend, view):
+            probers = probing.probers(backend, view)
+            if is_down or self._host_id in probers:
                 own[backend_id] = self._services[backend_id]
+            if probers == [self._host_id]:
+                sole.add(backend_id)
+        self._sole = frozenset(sole)
         self._schedule.assign(own, now_s)
 
     def _fail(self, backend_id: str, now_s: float, *, is_passive: bool) -> None:
@@ -314,7 +324,7 @@
         if not self._failing and not self._suspicion.is_active:
             return
         if self._suspicion.judge(self._verdicts.values(), now_s):
-            self._counters.count(Count.SELF_SUSPICIONS)
+            self.counters.count(Count.SELF_SUSPICIONS)
 
     def _refresh(self, now_s: float) -> None:
         """Recompute what ``is_usable`` and ``weight_ratio`` return."""
@@ -334,19 +344,33 @@
         }
 
     def _is_unusable(self, backend_id: str, now_s: float) -> bool:
+        """Combine the own verdict with the votes of the peers.
+
+        Own work that fails is enough. Failing probes need a second balancer,
+        because a fault between one prober and the backend server looks alike.
+        """
         verdict = self._verdicts[backend_id]
         votes = self._votes.count_down(backend_id)
-        if verdict.is_down and not self._suspicion.is_active:
+        if not self._suspicion.is_active:
+            votes += self._own_weight(backend_id, verdict)
+        if votes >= QUORUM and verdict.is_down:
             return True
         if now_s - verdict.last_success_s < _OWN_SUCCESS_S:
             return False
-        return votes >= QUORUM or (votes > 0 and verdict.is_failing)
+        return votes >= QUORUM
+
+    def _own_weight(self, backend_id: str, verdict: Verdict) -> int:
+        """Return how many votes the own evidence counts for."""
+        if not verdict.is_down:
+            return 1 if verdict.is_failing else 0
+        is_enough = verdict.is_from_work or backend_id in self._sole
+        return QUORUM if is_enough else 1
 
     def _report_silent(self, silent: SilentFlow) -> list[Action]:
-        self._counters.count(Count.FLOWS_SILENT)
+        self.counters.count(Count.FLOWS_SILENT)
         if silent.caller is None:
             return []
-        self._counters.refuse(ResultCode.FLOW_SILENT)
+        self.counters.refuse(ResultCode.FLOW_SILENT)
         refusal = wire.Refusal(
             request_id=0,
             code=ResultCode.FLOW_SILENT,
@@ -366,7 +390,7 @@
             self._probe_id += 1
             self._schedule.wait_for(self._probe_id, backend_id, now_s)
             payload = wire.encode(wire.Probe(self._probe_id))
-            self._counters.count(Count.CONTROL_SENT_BYTES, len(payload))
+            self.counters.count(Count.CONTROL_SENT_BYTES, len(payload))
             target = self._backends[backend_id].endpoint
             actions.append(SendToBackend(target, payload))
         return actions
@@ -374,57 +398,52 @@
     def _report(self, now_s: float) -> list[Action]:
         if self._suspicion.is_active:
             return []
-        changed = self._changed_verdicts()
+        actions: list[Action] = []
+        changed = self._reports.take_changed(self._down_here(), now_s)
+        if changed:
+            actions.extend(self._send_reports(changed, sorted(self._peers())))
+        if self._newcomers:
+            held = self._reports.lasting(now_s)
+            actions.extend(self._send_reports(held, sorted(self._newcomers)))
+            self._newcomers = set()
         if now_s >= self._repeat_s:
             self._repeat_s = now_s + _REPEAT_INTERVAL_S
-            changed.extend(
-                backend_id
-                for backend_id, is_usable in self._reported.items()
-                if not is_usable
-            )
-        by_service: dict[str, dict[str, bool]] = {}
-        for backend_id in changed:
-            verdicts = by_service.setdefault(self._services[backend_id], {})
-            verdicts[backend_id] = self._reported[backend_id]
-        actions: list[Action] = []
-        for service_id, verdicts in by_service.items():
-            actions.extend(self._send_report(self._new(service_id, verdicts)))
+            held = self._reports.lasting(now_s)
+            actions.extend(self._send_reports(held, self._next_listeners()))
         return actions
 
-    def _changed_verdicts(self) -> list[str]:
-        changed: list[str] = []
-        for backend_id in self._failing | set(self._reported):
-            is_usable = not self._verdicts[backend_id].is_down
-            if is_usable != self._reported.get(backend_id, True):
-                self._reported[backend_id] = is_usable
-                changed.append(backend_id)
-        return changed
+    def _down_here(self) -> set[str]:
+        return {
+            backend_id
+            for backend_id in self._failing
+            if self._verdicts[backend_id].is_down
+        }
+
+    def _next_listeners(self) -> list[str]:
+        """Return some peers, in turn, to repeat lasting verdicts to."""
+        peers = sorted(self._peers())
+        if len(peers) <= _MAX_FULL_MESH_PEERS:
+            return peers
+        start = self._turn % len(peers)
+        self._turn += _REPEAT_FANOUT
+        return (peers + peers)[start : start + _REPEAT_FANOUT]
 
-    def _new(
+    def _send_reports(
         self,
-        service_id: str,
-        verdicts: dict[str, bool],
-    ) -> peerwire.HealthReport:
-        self._sequence += 1
+        verdicts: Mapping[str, bool],
+        targets: Sequence[str],
+    ) -> list[Action]:
         own = self._view.peers.get(self._host_id) if self._view else None
-        return peerwire.HealthReport(
-            sender=self._host_id,
-            service_id=service_id,
-            verdicts=verdicts,
-            incarnation=own.incarnation if own else 0,
-            sequence=self._sequence,
-        )
-
-    def _send_report(self, report: peerwire.HealthReport) -> list[Action]:
-        payload = peerwire.seal(report, self._peer_key)
-        peers = sorted(self._peers())
-        if len(peers) > _MAX_FULL_MESH_PEERS:
-            peers = self._rng.sample(peers, _REPORT_FANOUT)
-        self._counters.count(
-            Count.CONTROL_SENT_BYTES,
-            len(payload) * len(peers),
-        )
-        return [SendToPeer(host_id, payload) for host_id in peers]
+        incarnation = own.incarnation if own else 0
+        actions: list[Action] = []
+        for report in self._reports.build(verdicts, incarnation):
+            payload = peerwire.seal(report, self._peer_key)
+            self.counters.count(
+                Count.CONTROL_SENT_BYTES,
+                len(payload) * len(targets),
+            )
+            actions.extend(SendToPeer(name, payload) for name in targets)
+        return actions
 
     def _peers(self) -> set[str]:
         if self._view is None:
@@ -432,6 +451,17 @@
         return set(self._view.peers) - {self._host_id}
 
 
+def _newcomers(before: LiveView | None, after: LiveView) -> set[str]:
+    """Return the hosts whose process was not in the view before."""
+    known = {} if before is None else before.peers
+    return {
+        host_id
+        for host_id, peer in after.peers.items()
+        if host_id not in known
+        or known[host_id].incarnation != peer.incarnation
+    }
+
+
 def _is_cold(before: BackendServer | None, after: BackendServer) -> bool:
     """Tell whether a backend server has just begun to take new flows."""
     if after.state is not BackendState.ACTIVE:
--- a/src/currantshore/internal/heartbeats.py
+++ b/src/currantshore/internal/heartbeats.py
@@ -10,7 +10,8 @@
 # Demands are for slot shares; those of idle services change nothing.
 _MAX_DEMANDS: Final = 8
 _MAX_DEMANDS_SIZE_BYTES: Final = 64
-# A new incarnation travels in full until the whole pool can have it.
+# A new process, or a host that is live again after a cut longer than a packed
+# counter can tell, travels in full until the whole pool can have it.
 _NEWS_AGE_S: Final = 3.0
 _MAX_NEWS: Final = 3
 # A host that missed the news learns the incarnation in turn: with 64 hosts
@@ -127,7 +128,7 @@
         chosen = [
             member
             for member in others
-            if now_s - member.first_seen_s < _NEWS_AGE_S
+            if now_s - member.appeared_s < _NEWS_AGE_S
         ]
         # Starts at another member each time, so that none of many is left out.
         start = self._turn * _MAX_NEWS % max(len(chosen), 1)
--- a/src/currantshore/internal/peerwire.py
+++ b/src/currantshore/internal/peerwire.py
@@ -78,8 +78,9 @@
 class HealthReport(Message, frozen=True, array_like=True, tag='health'):
     """A verdict of one balancer about backend servers that it watches.
 
-    ``verdicts`` maps a backend id to whether it is usable. Peers pass reports
-    on, so ``incarnation`` and ``sequence`` order those of one sender.
+    ``verdicts`` maps a backend id to whether it is usable. ``service_id`` is
+    empty when they are of several services. ``incarnation`` and ``sequence``
+    order the reports of one sender.
     """
 
     sender: str
--- a/src/currantshore/internal/roster.py
+++ b/src/currantshore/internal/roster.py
@@ -18,10 +18,10 @@
     """The newest known state of one host of the pool."""
 
     __slots__ = (
+        'appeared_s',
         'counter',
         'demands',
         'digest',
-        'first_seen_s',
         'host_id',
         'incarnation',
         'is_warm',
@@ -45,7 +45,7 @@
         self.counter = -1
         self.state = _CHART.initial
         self.last_rise_s = float('-inf')
-        self.first_seen_s = float('-inf')
+        self.appeared_s = float('-inf')
         self.queried_s = float('-inf')
         self.replied_s = float('-inf')
         self.reset_status()
@@ -81,7 +81,9 @@
             self.reset_status()
             self.move('restart')
             self.incarnation = incarnation
-            self.first_seen_s = now_s
+            self.appeared_s = now_s
+        if not self.is_live:
+            self.appeared_s = now_s
         self.counter = counter
         self.last_rise_s = now_s
         self.move('rise')
--- a/src/currantshore/internal/silence.py
+++ b/src/currantshore/internal/silence.py
@@ -71,6 +71,11 @@
         self._rotate_s: float | None = None
         self.silent_flows: Counter[str] = Counter()
 
+    @property
+    def memory_size(self) -> int:
+        """Return the number of flows that are followed."""
+        return len(self._current) + len(self._previous)
+
     def forget_backends(self, kept: frozenset[str]) -> None:
         """Drop what is known of backend servers that are not in ``kept``."""
         for known in (self._answered_s, self.silent_flows):
--- a/src/currantshore/internal/verdicts.py
+++ b/src/currantshore/internal/verdicts.py
@@ -40,6 +40,7 @@
         '_last_passive_failure_s',
         '_returned_s',
         '_successes',
+        'is_from_work',
         'last_success_s',
         'state',
     )
@@ -48,6 +49,8 @@
         """Start as usable: a backend server counts as usable until it fails."""
         self.state = _CHART.initial
         self.last_success_s = float('-inf')
+        # Whether failures of real work, and not only of probes, took it down.
+        self.is_from_work = False
         self._failures = 0
         self._successes = 0
         self._hold_s = _MIN_HOLD_S
@@ -130,6 +133,8 @@
         self._hold_s = (
             min(self._hold_s * 2, _MAX_HOLD_S) if is_flapping else _MIN_HOLD_S
         )
+        age_s = now_s - self._last_passive_failure_s
+        self.is_from_work = age_s <= _FAILURE_MEMORY_S
         self._down_s = now_s
         self._successes = 0
         self._move('confirmed')
--- a/src/currantshore/internal/votes.py
+++ b/src/currantshore/internal/votes.py
@@ -5,8 +5,8 @@
 
 from currantshore.internal.peerwire import HealthReport
 
-# Down verdicts are repeated well within this time while they last.
-VOTE_LIFETIME_S: Final = 20.0
+# Down verdicts are repeated to each peer within 80 s while they last.
+VOTE_LIFETIME_S: Final = 120.0
 QUORUM: Final = 2
 _Order = tuple[int, int]
 
