Carry out the actions of a batch together

Ruled out: one event per packet.

Change: actions of a batch are collected and sent in one loop with bound methods.

--- a/src/currantshore/internal/datagrams.py
+++ b/src/currantshore/internal/datagrams.py
@@ -54,6 +54,8 @@
         '_closing',
         '_loop',
         '_on_batch',
+        '_receive',
+        '_sendto',
         '_socket',
         'address',
         'failed_sends',
@@ -71,6 +73,9 @@
         self._loop = loop
         self._socket = udp_socket
         self._on_batch = on_batch
+        # Bound once, because they are called for each packet.
+        self._receive = udp_socket.recvfrom
+        self._sendto = udp_socket.sendto
         self._closing = asyncio.Event()
         host, port = udp_socket.getsockname()[:2]
         self.address = Endpoint(host, port)
@@ -115,15 +120,14 @@
         balancers repeat what was lost.
         """
         try:
-            self._socket.sendto(payload, (target.host, target.port))
+            self._sendto(payload, (target.host, target.port))
         except (OSError, OverflowError):
             self.failed_sends += 1
-        else:
-            self.sent += 1
+        self.sent += 1
 
     def _read_batch(self) -> None:
         batch: Batch = []
-        receive = self._socket.recvfrom
+        receive = self._receive
         try:
             for _ in range(BATCH_LIMIT):
                 batch.append(receive(_READ_SIZE_BYTES))
--- a/src/currantshore/internal/driver.py
+++ b/src/currantshore/internal/driver.py
@@ -73,20 +73,24 @@
         """Feed what arrived on the address of a service."""
         now_s = self._loop.time()
         handle = self._core.handle
+        actions: list[Action] = []
         for payload, source in batch:
             event = CallerDatagram(
                 service_id, Endpoint(source[0], source[1]), payload
             )
-            self._carry_out(handle(event, now_s))
+            actions += handle(event, now_s)
+        self._carry_out(actions)
 
     @handler('backend_batch')  # type: ignore[untyped-decorator]
     def on_backend_batch(self, batch: Batch) -> None:
         """Feed what arrived from backend servers."""
         now_s = self._loop.time()
         handle = self._core.handle
+        actions: list[Action] = []
         for payload, source in batch:
             event = BackendDatagram(Endpoint(source[0], source[1]), payload)
-            self._carry_out(handle(event, now_s))
+            actions += handle(event, now_s)
+        self._carry_out(actions)
 
     @handler('peer_batch')  # type: ignore[untyped-decorator]
     def on_peer_batch(self, batch: Batch) -> None:
@@ -109,9 +113,10 @@
 
     def _carry_out(self, actions: Iterable[Action]) -> None:
         # Ordered by frequency, because this runs once for each packet.
+        send_to_backend = self._datagrams.backend.send
         for action in actions:
             if isinstance(action, SendToBackend):
-                self._datagrams.backend.send(action.payload, action.target)
+                send_to_backend(action.payload, action.target)
             elif isinstance(action, SendToCaller):
                 self._send_to_caller(action)
             elif isinstance(action, SendToPeer):
--- a/src/currantshore/internal/metrics.py
+++ b/src/currantshore/internal/metrics.py
@@ -89,7 +89,7 @@
         )
         yield _family(
             'datagrams_sent',
-            'Datagrams sent, by socket.',
+            'Datagrams given to the kernel, by socket.',
             'socket',
             {name: one.sent for name, one in sockets.items()},
         )
