--- a/standins/demo.py
+++ b/standins/demo.py
@@ -53,6 +53,7 @@
         """Run everything and return the figures."""
         await self._start()
         started_s = asyncio.get_running_loop().time()
+        before = await self._pages()
         self._show('opening flows')
         per_service = self._scale.flows_per_service
         await asyncio.gather(
@@ -67,7 +68,7 @@
         self._show('checking every flow')
         await asyncio.gather(*(run.finish() for run in self._runs))
         elapsed_s = asyncio.get_running_loop().time() - started_s
-        return await self._figures(imbalance, elapsed_s)
+        return await self._figures(imbalance, elapsed_s, before)
 
     async def stop(self) -> None:
         """End all flows and processes."""
@@ -103,7 +104,10 @@
         self._show(f'killed {", ".join(killed)}')
 
     async def _figures(
-        self, imbalance: float, elapsed_s: float
+        self,
+        imbalance: float,
+        elapsed_s: float,
+        before: dict[str, dict[str, float]],
     ) -> dict[str, Any]:
         totals: Counter[str] = Counter()
         in_force_ms = 0
@@ -113,12 +117,10 @@
         for report in reports:
             in_force_ms = max(in_force_ms, report.pop('config_in_force_ms'))
             totals.update(report)
-        pages = await asyncio.gather(
-            *(
-                cluster.metrics(host_id)
-                for cluster in self._clusters
-                for host_id in cluster.running()
-            ),
+        pages = await self._pages()
+        control_bytes = max(
+            _control_bytes(page) - _control_bytes(before[host_id])
+            for host_id, page in pages.items()
         )
         shown = (*_PROMISES, 'requests_sent', 'answers_ok')
         totals.update(dict.fromkeys(shown, 0))
@@ -126,25 +128,35 @@
             **dict(sorted(totals.items())),
             'imbalance_ratio': round(imbalance, 3),
             'config_in_force_s': in_force_ms / 1000,
-            'control_bytes_per_s_max': round(
-                max(map(_control_bytes, pages)) / elapsed_s,
-            ),
-            'rss_mb_max': round(max(map(_resident_mb, pages)), 1),
+            'control_bytes_per_s_max': round(control_bytes / elapsed_s),
+            'rss_mb_max': round(max(map(_resident_mb, pages.values())), 1),
             'elapsed_s': round(elapsed_s, 1),
             'seed': self._seed,
         }
 
+    async def _pages(self) -> dict[str, dict[str, float]]:
+        asked = [
+            (host_id, cluster.metrics(host_id))
+            for cluster in self._clusters
+            for host_id in cluster.running()
+        ]
+        pages = await asyncio.gather(*(page for _, page in asked))
+        host_ids = [host_id for host_id, _ in asked]
+        return dict(zip(host_ids, pages, strict=True))
+
     def _show(self, what: str) -> None:
         if self._shows_progress:
             print(f'... {what}', flush=True)
 
 
 def _control_bytes(page: dict[str, float]) -> float:
-    return sum(
+    # Relayed requests are callers' traffic on the peer socket.
+    sent = sum(
         number
         for name, number in page.items()
         if name.startswith('currantshore_control_bytes_total')
     )
+    return sent - page['currantshore_relay_sent_bytes_total']
 
 
 def _resident_mb(page: dict[str, float]) -> float:
