Export unexpected faults and require none of them in the demo

Cause: a fault in a handler was only visible in the log.

Ruled out: ending the process on a fault, which breaks flows.

Change: gauge currantshore_faults; the demo exits non-zero above 0.

--- a/src/currantshore/internal/daemon.py
+++ b/src/currantshore/internal/daemon.py
@@ -40,6 +40,7 @@
         '_core',
         '_datagrams',
         '_driver',
+        '_fault_count',
         '_follower',
         '_is_leaving',
         '_log',
@@ -61,6 +62,7 @@
         self._log = get_logger('balancer')
         self._stop_requested = asyncio.Event()
         self._is_leaving = False
+        self._fault_count = 0
         self._tasks: list[asyncio.Task[None]] = []
         incarnation = _new_incarnation()
         self._core = BalancerCore.from_config(
@@ -171,6 +173,7 @@
             try:
                 await work()
             except Exception:
+                self._fault_count += 1
                 self._log.exception('task_failed', task=work.__qualname__)
             await asyncio.sleep(_RESTART_DELAY_S)
 
@@ -230,6 +233,7 @@
         return {
             'ready': float(self.is_ready()),
             'leaving': float(self._is_leaving),
+            'faults': self._fault_count,
             'max_resident_bytes': usage.ru_maxrss * 1024,
         }
 
@@ -240,6 +244,7 @@
         }
 
     def _on_fault(self, error: BaseException, event_name: str) -> None:
+        self._fault_count += 1
         self._log.error('handler_failed', trigger=event_name, exc_info=error)
 
 
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -30,6 +30,7 @@
     'new_flows_after_drain',
     'runs_after_drain',
     'wrong_service_packets',
+    'balancer_faults',
 )
 
 
@@ -126,6 +127,9 @@
         totals.update(dict.fromkeys(shown, 0))
         return {
             **dict(sorted(totals.items())),
+            'balancer_faults': round(
+                sum(page['currantshore_faults'] for page in pages.values()),
+            ),
             'imbalance_ratio': round(imbalance, 3),
             'config_in_force_s': in_force_ms / 1000,
             'control_bytes_per_s_max': round(control_bytes / elapsed_s),
--- a/standins/userrun.py
+++ b/standins/userrun.py
@@ -85,8 +85,11 @@
         ]
 
     async def drain(self) -> str:
-        """Drain the first backend server of the first service."""
-        service = self._cluster.pool.services[0]
+        """Drain the first backend server of the largest service."""
+        service = max(
+            self._cluster.pool.services,
+            key=lambda one: len(one.backend_servers),
+        )
         drained = service.backend_servers[0]
         servers = (
             msgspec.structs.replace(drained, state=BackendState.DRAINING),
