--- a/src/currantshore/internal/flowplane.py
+++ b/src/currantshore/internal/flowplane.py
@@ -298,6 +298,10 @@
             for flows in self._services.values()
         )
 
+    def use_incarnation(self, incarnation: int) -> None:
+        """Name ``incarnation`` as the executor in new tokens."""
+        self._incarnation = incarnation
+
     def is_warm(self) -> bool:
         """Tell whether this balancer can place flows as an owner."""
         return all(
--- a/src/currantshore/internal/health.py
+++ b/src/currantshore/internal/health.py
@@ -178,6 +178,10 @@
         """Note a request that timed out."""
         self._fail(backend_id, now_s, is_passive=True)
 
+    def backend_at(self, source: wire.Endpoint) -> str | None:
+        """Return the id of the backend server at an endpoint, if any."""
+        return self._by_endpoint.get(source)
+
     def note_upstream(
         self,
         service_id: str,
