Let only the first owner decide while it answers

Two owners that saw a change at different times decided differently after a lost lookup.

Retrying the first owner alone was ruled out: it may be dead.

A second owner now asks the first one and, when it is silent, polls all peers; a leaving balancer hands over every flow.

--- /dev/null
+++ b/src/currantshore/internal/addressing.py
@@ -0,0 +1,118 @@
+"""Which peer gets which exceptions, and in which form."""
+
+import dataclasses
+import random
+from collections.abc import Callable, Mapping
+
+import numpy as np
+
+from currantshore.internal.backends import BackendSlots
+from currantshore.internal.change import NO_VERSION
+from currantshore.internal.counters import Counters
+from currantshore.internal.exceptions import as_arrays, pack, unpack
+from currantshore.internal.handovers import Handover, HandoverLedger
+from currantshore.internal.peers import PeerChange, Peers
+from currantshore.internal.placement import Mask, Numbers, Slots
+from currantshore.internal.views import BackendHealth
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlaneContext:
+    """What the services of one balancer share."""
+
+    host_id: str
+    peer_key: bytes
+    counters: Counters
+    peers: Peers
+    ledger: HandoverLedger
+    health: BackendHealth
+    rng: random.Random
+
+
+class Addressing:
+    """Splits the exceptions of one service by owner and encodes them."""
+
+    __slots__ = ('_backends', '_context', '_service_id')
+
+    def __init__(
+        self,
+        service_id: str,
+        context: PlaneContext,
+        backends: BackendSlots,
+    ) -> None:
+        """Encode slots as the ids of ``backends``."""
+        self._service_id = service_id
+        self._context = context
+        self._backends = backends
+
+    def to_owners(
+        self,
+        flows: Mapping[int, int],
+        rank: int,
+        change: PeerChange | None,
+        *,
+        is_blocking: bool = True,
+    ) -> list[Handover]:
+        """Return the handovers of ``flows`` to their owners of one rank.
+
+        Hosts that were owners before ``change`` are left out.
+        """
+        handovers: list[Handover] = []
+        if not flows:
+            return handovers
+        owners = self._context.peers.owners
+        keys, slots = as_arrays(flows)
+        for host in owners.hosts:
+            chosen = owners.owned_by(host, rank, keys)
+            if change is not None:
+                chosen = chosen & ~change.is_former_owner(host, keys)
+            if host == self._context.host_id or not chosen.any():
+                continue
+            selected = _chosen(keys, slots, chosen)
+            handovers.append(self.handover(host, selected, is_blocking))
+        return handovers
+
+    def handover(
+        self,
+        host: str,
+        flows: Mapping[int, int],
+        is_blocking: bool,
+    ) -> Handover:
+        """Return the handover of ``flows`` to one host."""
+        return Handover(
+            host_id=host,
+            service_id=self._service_id,
+            flows=self.encoded(flows),
+            settled_version=NO_VERSION,
+            is_blocking=is_blocking,
+        )
+
+    def select(
+        self,
+        flows: Mapping[int, int],
+        is_owner: Callable[[str, Numbers], Mask],
+    ) -> dict[int, int]:
+        """Return the flows that this balancer owns."""
+        keys, slots = as_arrays(flows)
+        return _chosen(keys, slots, is_owner(self._context.host_id, keys))
+
+    def encoded(self, flows: Mapping[int, int]) -> dict[str, bytes]:
+        """Group packed fingerprints by backend id."""
+        keys, slots = as_arrays(flows)
+        return {
+            self._backends.name(int(slot)): pack(keys[slots == slot])
+            for slot in np.unique(slots)
+        }
+
+    def decoded(self, flows: Mapping[str, bytes]) -> dict[int, int]:
+        """Return slots by fingerprint."""
+        return {
+            fingerprint: self._backends.reserve(backend_id)
+            for backend_id, packed in flows.items()
+            for fingerprint in unpack(packed)
+        }
+
+
+def _chosen(keys: Numbers, slots: Slots, mask: Mask) -> dict[int, int]:
+    chosen_keys = keys[mask].tolist()
+    return dict(zip(chosen_keys, slots[mask].tolist(), strict=True))
--- a/src/currantshore/internal/asking.py
+++ b/src/currantshore/internal/asking.py
@@ -1,6 +1,7 @@
 """Lookups of one service: asking owners and answering as an owner."""
 
 from currantshore.codes import DropReason, RetryReason
+from currantshore.internal.addressing import PlaneContext
 from currantshore.internal.counters import Count
 from currantshore.internal.events import Action, SendToPeer
 from currantshore.internal.lookups import (
@@ -12,7 +13,6 @@
 from currantshore.internal.peerwire import Lookup, LookupReply, seal
 from currantshore.internal.placement import NO_SLOT
 from currantshore.internal.placing import FlowPlacer
-from currantshore.internal.sharing import PlaneContext
 from currantshore.wire import Endpoint, Message
 
 
@@ -129,7 +129,7 @@
         that see a change at different times do not decide differently.
         """
         peers = self._context.peers
-        ranked = peers.owners.ranked(flow_key)
+        ranked = peers.deciders.ranked(flow_key)
         others = [host for host in ranked if host != peers.self_id]
         if not self._is_able_to_decide(now_s):
             return LookupKind.OWNERS, others
@@ -160,7 +160,11 @@
             return []
         kind, hosts = self._plan(flow_key, now_s)
         hosts = [host for host in hosts if host != asker]
-        if kind is LookupKind.OWNERS or not hosts:
+        if kind is not LookupKind.POLL:
+            # A third balancer leaves the decision to the owners, too.
+            kind = LookupKind.RELAY
+            hosts = hosts[:1]
+        if not hosts:
             return self._reply(asker, flow_key, self._placer.place(flow_key))
         pending = self._lookups.start(flow_key, hosts, kind, now_s)
         if pending is None:
--- a/src/currantshore/internal/flowplane.py
+++ b/src/currantshore/internal/flowplane.py
@@ -3,6 +3,7 @@
 import random
 
 from currantshore.codes import DropReason, ResultCode, RetryReason
+from currantshore.internal.addressing import PlaneContext
 from currantshore.internal.counters import Count, Counters
 from currantshore.internal.events import (
     Action,
@@ -16,7 +17,6 @@
 from currantshore.internal.peers import Peers
 from currantshore.internal.peerwire import Lookup, LookupReply
 from currantshore.internal.placement import NO_SLOT
-from currantshore.internal.sharing import PlaneContext
 from currantshore.internal.snapshot import PoolSnapshot
 from currantshore.internal.tokens import FlowToken, TokenSealer
 from currantshore.internal.tracking import ServiceFlows
--- a/src/currantshore/internal/lookups.py
+++ b/src/currantshore/internal/lookups.py
@@ -11,15 +11,14 @@
 # missing answer means a lost message or a dead owner.
 LOOKUP_TIMEOUT_S: Final = 0.1
 
-# A lookup goes to the first owner alone once, then to both owners. The second
-# owner needs three rounds to be sure that the first one is silent.
-_LOOKUP_ROUNDS: Final = 6
-
-# A second owner asks the first one, and an owner polls its peers, while a
-# peer waits: both must be over before that peer gives up.
+# Lookups nest: a caller's balancer asks the owners, a second owner asks the
+# first one, and an owner polls its peers. Each must outlast the nested one with
+# two lost messages, so that an owner is not overruled while it still decides.
 _NESTED_TIMEOUT_S: Final = 0.05
-_RELAY_ROUNDS: Final = 3
 _POLL_ROUNDS: Final = 2
+_RELAY_ROUNDS: Final = 5
+_SECOND_OWNER_ROUNDS: Final = 12
+_LOOKUP_ROUNDS: Final = 8
 
 # Bounds of the queue of one service: 1,024 flows with 8 packets of 1,400
 # bytes use at most 12 MB.
@@ -32,12 +31,13 @@
     """Whom a lookup asks.
 
     ``OWNERS``: the first owner, then both. ``FIRST_OWNER``: only the first
-    owner, asked by the second one. ``POLL``: all candidates at once, for flows
-    that they know.
+    owner, asked by the second one. ``RELAY``: the same while a peer waits for
+    the answer. ``POLL``: all candidates at once, for flows that they know.
     """
 
     OWNERS = (LOOKUP_TIMEOUT_S, _LOOKUP_ROUNDS)
-    FIRST_OWNER = (_NESTED_TIMEOUT_S, _RELAY_ROUNDS)
+    FIRST_OWNER = (_NESTED_TIMEOUT_S, _SECOND_OWNER_ROUNDS)
+    RELAY = (_NESTED_TIMEOUT_S, _RELAY_ROUNDS)
     POLL = (_NESTED_TIMEOUT_S, _POLL_ROUNDS)
 
     @property
--- a/src/currantshore/internal/peers.py
+++ b/src/currantshore/internal/peers.py
@@ -59,6 +59,7 @@
         '_is_leaving',
         '_last_tick_s',
         '_since',
+        'deciders',
         'has_declared',
         'is_behind',
         'others',
@@ -71,7 +72,10 @@
     def __init__(self, self_id: str) -> None:
         """Start without peers."""
         self.self_id = self_id
+        # Owners receive exceptions; deciders answer lookups. They differ on a
+        # balancer that leaves: it answers until its peers know that it does.
         self.owners = Owners((self_id,))
+        self.deciders = self.owners
         self.others: frozenset[str] = frozenset()
         self.unprepared: frozenset[str] = frozenset()
         self.is_behind = False
@@ -143,13 +147,12 @@
         return now_s < self._grace_until_s or self._has_gap(now_s)
 
     def _rank(self, owners: list[str]) -> None:
-        hosts = set(owners)
+        hosts = {self.self_id, *owners}
+        if self.deciders.hosts != tuple(sorted(hosts)):
+            self.deciders = Owners(hosts)
+        self.owners = self.deciders
         if self._is_leaving:
-            hosts.discard(self.self_id)
-        else:
-            hosts.add(self.self_id)
-        if self.owners.hosts != tuple(sorted(hosts)):
-            self.owners = Owners(hosts)
+            self.owners = Owners(hosts - {self.self_id})
 
     def _note_incarnations(
         self,
--- a/src/currantshore/internal/placing.py
+++ b/src/currantshore/internal/placing.py
@@ -1,6 +1,7 @@
 """Where the flows of one service go on this balancer."""
 
 from currantshore.codes import DropReason, ResultCode
+from currantshore.internal.addressing import PlaneContext
 from currantshore.internal.backends import BackendSlots
 from currantshore.internal.change import PlacementChange
 from currantshore.internal.counters import Count
@@ -13,7 +14,7 @@
     slot_of,
 )
 from currantshore.internal.placement import NO_SLOT
-from currantshore.internal.sharing import ExceptionSharing, PlaneContext
+from currantshore.internal.sharing import ExceptionSharing
 from currantshore.internal.snapshot import ServiceSnapshot
 from currantshore.wire import Endpoint, Forwarded, Refusal, encode
 
--- a/src/currantshore/internal/sharing.py
+++ b/src/currantshore/internal/sharing.py
@@ -5,30 +5,21 @@
 pool, once; after that an unknown flow costs no message.
 """
 
-import dataclasses
-import random
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from typing import Final
 
-import numpy as np
-
+from currantshore.internal.addressing import Addressing, PlaneContext
 from currantshore.internal.backends import BackendSlots
 from currantshore.internal.change import NO_VERSION, PlacementChange
-from currantshore.internal.counters import Counters
 from currantshore.internal.events import Action, FlowsHandedOver
 from currantshore.internal.exceptions import (
     ExceptionTable,
-    as_arrays,
     misplaced,
     opaque,
-    pack,
-    unpack,
 )
 from currantshore.internal.flowtable import FlowTable, entry_of
-from currantshore.internal.handovers import Handover, HandoverLedger
-from currantshore.internal.peers import PeerChange, Peers
-from currantshore.internal.placement import Mask, Numbers, Slots
-from currantshore.internal.views import BackendHealth
+from currantshore.internal.handovers import Handover
+from currantshore.internal.peers import PeerChange
 
 # Groups late exceptions; a killed balancer loses those of this time.
 _FLUSH_INTERVAL_S: Final = 0.25
@@ -42,27 +33,15 @@
 _SECOND: Final = 1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PlaneContext:
-    """What the services of one balancer share."""
-
-    host_id: str
-    peer_key: bytes
-    counters: Counters
-    peers: Peers
-    ledger: HandoverLedger
-    health: BackendHealth
-    rng: random.Random
-
-
 class ExceptionSharing:
     """Sends and receives the exceptions of one service."""
 
     __slots__ = (
-        '_backends',
+        '_addressing',
         '_change',
         '_context',
         '_continue_at_s',
+        '_decided',
         '_exceptions',
         '_flush_at_s',
         '_known',
@@ -84,13 +63,15 @@
         """Share ``exceptions`` and the misplaced flows of ``known``."""
         self._service_id = service_id
         self._context = context
-        self._backends = backends
+        self._addressing = Addressing(service_id, context, backends)
         self._known = known
         self._exceptions = exceptions
         self._change = change
         self._flush_at_s = float('-inf')
         # Flows that a stopping balancer has not handed over yet.
         self._leaving: list[tuple[int, int]] = []
+        # Flows that this balancer has placed against the new table.
+        self._decided: set[int] = set()
         # Exceptions found after the handover of their change.
         self._late: dict[int, int] = {}
         # Handovers to second owners, sent a moment after the first ones.
@@ -108,8 +89,13 @@
         return not (self._late or self._waiting or self._leaving)
 
     def note_late(self, fingerprint: int, slot: int) -> None:
-        """Record an exception that arose after the handover."""
+        """Record an exception that arose after the handover.
+
+        Until the commit its owners need it. With the commit, this balancer
+        tells all peers itself: the owner may have committed before.
+        """
         self._late[fingerprint] = slot
+        self._decided.add(fingerprint)
         self._exceptions.add(fingerprint, slot, is_fresh=True)
 
     def hand_over(
@@ -126,9 +112,16 @@
             flows = self._exceptions.items() | flows
         for fingerprint, slot in flows.items():
             self._exceptions.add(fingerprint, slot, is_fresh=True)
-        self._waiting.extend(self._to_owners(flows, _SECOND, change))
+        addressing = self._addressing
+        owners = self._context.peers.owners
+        handovers = addressing.to_owners(flows, 0, change)
+        owned = addressing.select(flows, owners.is_first_owner)
+        handovers.extend(addressing.to_owners(owned, _SECOND, change))
+        for fingerprint in owned:
+            flows.pop(fingerprint)
+        self._waiting.extend(addressing.to_owners(flows, _SECOND, change))
         self._continue_at_s = now_s + _SECOND_OWNER_DELAY_S
-        return self._send(self._to_owners(flows, 0, change), now_s)
+        return self._send(handovers, now_s)
 
     def continue_handover(self, now_s: float) -> list[Action]:
         """Send to the second owners, even if a first one is silent."""
@@ -149,13 +142,14 @@
     def take_back(self, handover: Handover) -> None:
         """Send the flows of a given-up handover to the new owners."""
         if handover.settled_version == NO_VERSION:
-            self._late.update(self._decoded(handover.flows))
+            self._late.update(self._addressing.decoded(handover.flows))
 
     def refresh(self) -> None:
         """Tell the owners which exceptions still carry traffic."""
         flows = misplaced(self._known, self._change.table)
         for fingerprint, slot in flows.items():
-            self.note_late(fingerprint, slot)
+            self._late[fingerprint] = slot
+            self._exceptions.add(fingerprint, slot, is_fresh=True)
 
     def hand_over_all(self, now_s: float) -> list[Action]:
         """Queue every known flow for its first owner, because of a stop.
@@ -177,7 +171,7 @@
             return []
         elders = self._context.peers.elders(now_s)
         held = self._exceptions.items()
-        owned = self._select(held, elders.is_owner)
+        owned = self._addressing.select(held, elders.is_owner)
         fresh = {
             fingerprint: owned.pop(fingerprint)
             for fingerprint in self._exceptions.fresh
@@ -185,7 +179,9 @@
         }
         actions = self._send_settled(arrived, owned, now_s)
         if fresh:
-            handovers = [self._handover(host, fresh, True) for host in arrived]
+            handovers = [
+                self._addressing.handover(host, fresh, True) for host in arrived
+            ]
             actions.extend(self._send(handovers, now_s))
         return actions
 
@@ -203,7 +199,9 @@
         late = self._late
         self._late = {}
         for rank in (0, _SECOND):
-            handovers = self._to_owners(late, rank, None, is_blocking=False)
+            handovers = self._addressing.to_owners(
+                late, rank, None, is_blocking=False
+            )
             actions.extend(self._send(handovers, now_s))
         actions.extend(self._flush_leaving(now_s))
         if self._change.is_committed and self._exceptions.fresh:
@@ -214,7 +212,7 @@
         """Record exceptions and other flows that a peer has sent."""
         is_settled = event.settled_version > NO_VERSION
         table = self._change.table
-        for fingerprint, slot in self._decoded(event.flows).items():
+        for fingerprint, slot in self._addressing.decoded(event.flows).items():
             if slot != table.slot_of(fingerprint):
                 self._exceptions.add(fingerprint, slot, not is_settled)
             elif self._known.find(fingerprint) is None:
@@ -232,43 +230,6 @@
             if fingerprint not in held
         }
 
-    def _to_owners(
-        self,
-        flows: Mapping[int, int],
-        rank: int,
-        change: PeerChange | None,
-        *,
-        is_blocking: bool = True,
-    ) -> list[Handover]:
-        handovers: list[Handover] = []
-        if not flows:
-            return handovers
-        owners = self._context.peers.owners
-        keys, slots = as_arrays(flows)
-        for host in owners.hosts:
-            chosen = owners.owned_by(host, rank, keys)
-            if change is not None:
-                chosen = chosen & ~change.is_former_owner(host, keys)
-            if host == self._context.host_id or not chosen.any():
-                continue
-            selected = _chosen(keys, slots, chosen)
-            handovers.append(self._handover(host, selected, is_blocking))
-        return handovers
-
-    def _handover(
-        self,
-        host: str,
-        flows: Mapping[int, int],
-        is_blocking: bool,
-    ) -> Handover:
-        return Handover(
-            host_id=host,
-            service_id=self._service_id,
-            flows=self._encoded(flows),
-            settled_version=NO_VERSION,
-            is_blocking=is_blocking,
-        )
-
     def _send_settled(
         self,
         hosts: Iterable[str],
@@ -276,7 +237,7 @@
         now_s: float,
     ) -> list[Action]:
         version = self._change.committed_version
-        encoded = self._encoded(flows)
+        encoded = self._addressing.encoded(flows)
         return self._send(
             [
                 Handover(host, self._service_id, encoded, version, False)
@@ -288,7 +249,9 @@
     def _flush_leaving(self, now_s: float) -> list[Action]:
         chunk = self._leaving[:_LEAVING_CHUNK]
         self._leaving = self._leaving[_LEAVING_CHUNK:]
-        handovers = self._to_owners(dict(chunk), 0, None, is_blocking=False)
+        handovers = self._addressing.to_owners(
+            dict(chunk), 0, None, is_blocking=False
+        )
         return self._send(handovers, now_s)
 
     def _flush_fresh(self, now_s: float) -> list[Action]:
@@ -299,23 +262,20 @@
         return self._send_settled(hosts, flows, now_s)
 
     def _take_fresh(self) -> dict[int, int]:
-        """Take the new exceptions that this balancer owns first."""
+        """Take the new exceptions that this balancer owns or has decided."""
         owners = self._context.peers.owners
         fresh = self._exceptions.fresh
-        taken = self._select(fresh, owners.is_first_owner)
+        taken = self._addressing.select(fresh, owners.is_first_owner)
+        taken.update(
+            (fingerprint, fresh[fingerprint])
+            for fingerprint in self._decided
+            if fingerprint in fresh
+        )
+        self._decided = set()
         for fingerprint in taken:
             fresh.pop(fingerprint)
         return taken
 
-    def _select(
-        self,
-        flows: Mapping[int, int],
-        is_owner: Callable[[str, Numbers], Mask],
-    ) -> dict[int, int]:
-        """Return the flows that this balancer owns."""
-        keys, slots = as_arrays(flows)
-        return _chosen(keys, slots, is_owner(self._context.host_id, keys))
-
     def _send(
         self,
         handovers: Iterable[Handover],
@@ -323,22 +283,3 @@
     ) -> list[Action]:
         ledger = self._context.ledger
         return [ledger.send(handover, now_s) for handover in handovers]
-
-    def _encoded(self, flows: Mapping[int, int]) -> dict[str, bytes]:
-        keys, slots = as_arrays(flows)
-        return {
-            self._backends.name(int(slot)): pack(keys[slots == slot])
-            for slot in np.unique(slots)
-        }
-
-    def _decoded(self, flows: Mapping[str, bytes]) -> dict[int, int]:
-        return {
-            fingerprint: self._backends.reserve(backend_id)
-            for backend_id, packed in flows.items()
-            for fingerprint in unpack(packed)
-        }
-
-
-def _chosen(keys: Numbers, slots: Slots, mask: Mask) -> dict[int, int]:
-    chosen_keys = keys[mask].tolist()
-    return dict(zip(chosen_keys, slots[mask].tolist(), strict=True))
--- a/src/currantshore/internal/tracking.py
+++ b/src/currantshore/internal/tracking.py
@@ -1,12 +1,12 @@
 """State of one service in the flow part of the core."""
 
+from currantshore.internal.addressing import PlaneContext
 from currantshore.internal.asking import LookupDesk
 from currantshore.internal.counters import Count
 from currantshore.internal.events import Action
 from currantshore.internal.peers import PeerChange
 from currantshore.internal.placement import NO_SLOT
 from currantshore.internal.placing import FlowPlacer
-from currantshore.internal.sharing import PlaneContext
 from currantshore.internal.snapshot import ServiceSnapshot
 from currantshore.wire import Endpoint
 
