Test requests, admission, slot shares and limits by fault tables

Cause: the mechanisms were covered by the state machine alone. Change: tests of routes, at most once, pauses, answers, sheds, cancellation, handover, classes, turns, quotas, limits and the retry budget; the state machine's finding as an explicit test; one pick per run, not four.

--- a/src/currantshore/internal/capacity.py
+++ b/src/currantshore/internal/capacity.py
@@ -10,6 +10,9 @@
 from currantshore.internal.snapshot import BackendServer
 from currantshore.internal.views import BackendHealth
 
+# Limits move by less than a slot in this time.
+_COUNT_INTERVAL_S: Final = 0.05
+
 _NONE_TRIED: Final[frozenset[str]] = frozenset()
 
 
@@ -29,12 +32,14 @@
 
     __slots__ = (
         '_backends',
+        '_counted_s',
         '_demands',
         '_health',
         '_limits',
         '_mode',
         '_outstanding',
         '_shares',
+        '_slot_count',
     )
 
     def __init__(
@@ -51,6 +56,8 @@
         self._limits: dict[str, AdaptiveLimit] = {}
         self._outstanding: Counter[str] = Counter()
         self._shares = SlotShares(host_id)
+        self._slot_count = 0
+        self._counted_s = float('-inf')
 
     @property
     def outstanding(self) -> int:
@@ -90,11 +97,20 @@
 
     def slot_count(self, now_s: float) -> int:
         """Return the runs that this balancer may have out, at least 1."""
-        allowed = sum(
-            self._allowance(backend, now_s)
-            for backend in self._usable(_NONE_TRIED)
-        )
-        return max(1, allowed)
+        if now_s - self._counted_s >= _COUNT_INTERVAL_S:
+            self._counted_s = now_s
+            self._slot_count = sum(
+                self._allowance(backend, now_s)
+                for backend in self._usable(_NONE_TRIED)
+            )
+        return max(1, self._slot_count)
+
+    def has_room(self, now_s: float) -> bool:
+        """Tell whether some backend server has a free slot."""
+        for backend in self._ready(_NONE_TRIED, now_s):
+            if not self.outstanding or self._free(backend, now_s) > 0:
+                return True
+        return False
 
     def pick(
         self,
@@ -103,22 +119,20 @@
         now_s: float,
     ) -> BackendServer | None:
         """Choose a server with a free slot, ``preferred`` if possible."""
-        ready = [
-            backend
-            for backend in self._usable(tried)
-            if not self._limits[backend.backend_id].is_paused(now_s)
-        ]
-        free = [backend for backend in ready if self._free(backend, now_s) > 0]
+        ready = list(self._ready(tried, now_s))
+        free = {
+            backend.backend_id: self._free(backend, now_s) for backend in ready
+        }
         # A balancer without a share still has one request outstanding, so
         # that a service never stops at a host that lost every slot draw.
-        if not free and not self.outstanding:
-            free = ready
-        for backend in free:
+        if self.outstanding or max(free.values(), default=0) > 0:
+            ready = [each for each in ready if free[each.backend_id] > 0]
+        for backend in ready:
             if backend.backend_id == preferred:
                 return backend
         return max(
-            free,
-            key=lambda each: self._free(each, now_s),
+            ready,
+            key=lambda each: free[each.backend_id],
             default=None,
         )
 
@@ -162,6 +176,7 @@
         }
 
     def _share(self, now_s: float) -> None:
+        self._counted_s = float('-inf')
         shares = self._shares
         match self._mode:
             case AdmissionMode.EQUAL_SHARES:
@@ -179,6 +194,17 @@
             and self._health.is_usable(backend.backend_id)
         )
 
+    def _ready(
+        self,
+        tried: frozenset[str],
+        now_s: float,
+    ) -> Iterator[BackendServer]:
+        return (
+            backend
+            for backend in self._usable(tried)
+            if not self._limits[backend.backend_id].is_paused(now_s)
+        )
+
     def _allowance(self, backend: BackendServer, now_s: float) -> int:
         ratio = self._health.weight_ratio(backend.backend_id)
         allowed = self._limits[backend.backend_id].allowed(ratio)
--- a/src/currantshore/internal/requestlog.py
+++ b/src/currantshore/internal/requestlog.py
@@ -1,6 +1,7 @@
 """Request ids that an executor has seen, bounded for each flow."""
 
 import enum
+import heapq
 from collections.abc import Mapping
 from typing import Final
 
@@ -10,6 +11,9 @@
 # learns "too old" for it; the bound keeps a flow below about 100 KB.
 MAX_IDS_ABOVE_FLOOR: Final = 1024
 
+# Finding the lowest ids takes a scan, so several go at a time.
+_DROPPED_AT_ONCE: Final = 64
+
 
 @enum.unique
 class IdState(enum.Enum):
@@ -70,10 +74,10 @@
         if request_id < self._floor and request_id not in self._codes:
             return
         self._codes[request_id] = code
-        while len(self._codes) > MAX_IDS_ABOVE_FLOOR:
-            lowest = min(self._codes)
-            self._codes.pop(lowest)
-            self._floor = lowest + 1
+        if len(self._codes) > MAX_IDS_ABOVE_FLOOR:
+            for lowest in heapq.nsmallest(_DROPPED_AT_ONCE, self._codes):
+                self._codes.pop(lowest)
+                self._floor = lowest + 1
 
     def merge(self, floor: int, codes: Mapping[int, ResultCode]) -> None:
         """Add the ids of another executor's log of the same flow."""
--- a/src/currantshore/internal/servicerunner.py
+++ b/src/currantshore/internal/servicerunner.py
@@ -181,11 +181,9 @@
     def dispatch(self, now_s: float) -> None:
         """Send waiting requests while there are free slots."""
         kept: list[Work] = []
-        while self._capacity.pick('', frozenset(), now_s) is not None:
+        while self._queue and self._capacity.has_room(now_s):
             work = self._queue.take()
-            if work is None:
-                break
-            if not self._start(work, now_s):
+            if work is not None and not self._start(work, now_s):
                 kept.append(work)
         self._queue.put_back(reversed(kept))
 
--- a/tests/cover/test_executor.py
+++ b/tests/cover/test_executor.py
@@ -1,148 +1,379 @@
 """Requests at their executor: at most once, answers and relays."""
 
-import random
+import dataclasses
+from unittest import mock
 
 import testtools
 
 from currantshore import wire
-from currantshore.internal import hashing, peerwire
-from currantshore.internal.counters import Counters
-from currantshore.internal.events import SendToBackend, SendToCaller, SendToPeer
-from currantshore.internal.requestplane import RequestPlane
-from currantshore.internal.snapshot import (
-    BackendServer,
-    PoolMembers,
-    PoolSnapshot,
-    PriorityClass,
-    ServiceSnapshot,
-)
-from currantshore.internal.tokens import FlowToken
-from currantshore.internal.views import LiveView, PeerView
-
-SERVICE = 'dockwatch'
-CALLER = wire.Endpoint('10.0.0.1', 4000)
-FLOW = hashing.flow_key(SERVICE, CALLER)
-BACKENDS = tuple(
-    BackendServer(f'dw-{n}', 'harbor', wire.Endpoint('10.1.0.1', n), 3)
-    for n in (1, 2, 3)
+from currantshore.internal import peerwire, requestlogs
+from currantshore.internal.answercache import AnswerCache
+from currantshore.internal.events import RequestsHandedOver, SendToPeer
+from currantshore.internal.retrybudget import RetryBudget
+from tests.cover import request_kit as kit
+
+
+@dataclasses.dataclass(frozen=True)
+class TokenCase:
+    """What happens to a request at host ``a``, incarnation 1."""
+
+    name: str
+    executor: str
+    incarnation: int
+    live: dict
+    when_not_repeatable: object
+    when_repeatable: object
+
+
+TOKEN_CASES = (
+    TokenCase('own token', 'a', 1, {'a': 1}, 'run', 'run'),
+    TokenCase('own earlier incarnation', 'a', 9, {'a': 1}, 202, 'run'),
+    TokenCase('live executor', 'b', 1, {'a': 1, 'b': 1}, 'b', 'b'),
+    TokenCase('restarted executor', 'b', 9, {'a': 1, 'b': 1}, 'b', 'b'),
+    TokenCase('lost executor', 'b', 1, {'a': 1}, 202, 'run'),
 )
 
 
-class AllUsable:
-    def is_usable(self, backend_id):
-        return True
-
-    def weight_ratio(self, backend_id):
-        return 1.0
-
-    def record_success(self, backend_id, now_s):
-        """Ignore it."""
-
-    def record_failure(self, backend_id, now_s):
-        """Ignore it."""
-
-
-def make_pool():
-    service = ServiceSnapshot(
-        SERVICE,
-        'lakeshore',
-        wire.Endpoint('10.9.0.1', 1),
-        2048,
-        BACKENDS,
-        (PriorityClass('urgent', 0, 0.2), PriorityClass('bulk', 1, 0.2)),
-    )
-    members = PoolMembers('pool', 'lakeshore', ('harbor',), ())
-    return PoolSnapshot(members, (service,))
-
-
-def make_plane(host_id='a', live=('a', 'b'), incarnation=1):
-    plane = RequestPlane.from_config(
-        host_id,
-        incarnation,
-        Counters(),
-        b'key',
-        AllUsable(),
-        random.Random(1),
-    )
-    plane.configure(make_pool(), 0)
-    plane.on_live_view(make_view(host_id, live), 0)
-    return plane
-
-
-def make_view(host_id, live):
-    peers = {
-        name: PeerView(name, 'harbor', 1, False, True, 0, {}) for name in live
-    }
-    return LiveView(host_id, peers, 0)
-
-
-def make_token(executor='a', incarnation=1, first=1):
-    return FlowToken(SERVICE, 'dw-1', executor, incarnation, first)
-
-
-def send(plane, request_id=1, token=None, now_s=0, **fields):
-    values = {
-        'attempt': 1,
-        'priority_class': 'urgent',
-        'is_repeatable': False,
-        'deadline_ms': 1000,
-        'payload': b'x',
-        'token': b't',
-        **fields,
-    }
-    request = wire.Request(request_id, **values)
-    return plane.on_request(
-        SERVICE,
-        CALLER,
-        FLOW,
-        token or make_token(),
-        request,
-        wire.encode(request),
-        now_s,
-    )
-
-
-def runs(actions):
-    orders = [
-        wire.decode_order(action.payload)
-        for action in actions
-        if isinstance(action, SendToBackend)
-    ]
-    return [order for order in orders if isinstance(order, wire.Run)]
-
-
-def told(actions):
-    return [
-        wire.decode_from_balancer(action.payload)
-        for action in actions
-        if isinstance(action, SendToCaller)
-    ]
-
-
-def answer(plane, run, part=0, parts=1, payload=b'y', now_s=0):
-    reply = wire.RunAnswer(SERVICE, CALLER, run.run_id, part, parts, payload)
-    return plane.on_run_answer(BACKENDS[0].endpoint, reply, now_s)
-
-
-class FirstRunTests(testtools.TestCase):
-    """Guards against lost or repeated runs in the plainest cases."""
-
-    def test_the_named_executor_runs_and_answers(self):
-        plane = make_plane()
-        run = runs(send(plane))[0]
-        reply = told(answer(plane, run))[0]
-        self.assertEqual((1, b'y'), (reply.request_id, reply.payload))
-        self.assertTrue(plane.is_idle())
-
-    def test_another_balancer_relays(self):
-        relay = send(make_plane('b'))[0]
-        self.assertIsInstance(relay, SendToPeer)
+def fate(actions):
+    if kit.runs(actions):
+        return 'run'
+    for action in actions:
+        if isinstance(action, SendToPeer):
+            return action.host_id
+    return kit.codes(actions)[0]
+
+
+class RouteTests(testtools.TestCase):
+    """Guards against runs by a process that is not the executor."""
+
+    def test_each_token_goes_where_its_ids_are_known(self):
+        for case in TOKEN_CASES:
+            for repeatable, expected in (
+                (False, case.when_not_repeatable),
+                (True, case.when_repeatable),
+            ):
+                plane = kit.make_plane()
+                plane.on_live_view(kit.make_view('a', case.live), 0)
+                actions = kit.send(
+                    plane,
+                    token=kit.make_token(case.executor, case.incarnation),
+                    is_repeatable=repeatable,
+                )
+                self.assertEqual(expected, fate(actions), case.name)
+
+    def test_a_relay_is_run_by_its_executor_once(self):
+        relay = kit.send(kit.make_plane('b', ('a', 'b')))[0]
         message = peerwire.unseal(relay.payload, b'key')
         request = wire.decode_from_caller(message.datagram)
-        plane = make_plane()
-        actions = plane.on_relayed(message, make_token(), request, 0)
-        self.assertEqual(1, len(runs(actions)))
+        plane = kit.make_plane()
+        arguments = (message, kit.make_token(), request, 0)
+        self.assertEqual('run', fate(plane.on_relayed(*arguments)))
+        self.assertEqual([], plane.on_relayed(*arguments))
+
+    def test_a_relay_without_hops_left_is_not_passed_on(self):
+        plane = kit.make_plane('b', ('a', 'b'))
+        request = kit.make_request(1)
+        relayed = peerwire.RelayedRequest('c', kit.SERVICE, kit.CALLER, b'', 0)
+        actions = plane.on_relayed(relayed, kit.make_token(), request, 0)
+        self.assertEqual([202], kit.codes(actions))
+
+
+class AtMostOnceTests(testtools.TestCase):
+    """Guards against a second run of the same request id."""
+
+    def setUp(self):
+        super().setUp()
+        self.plane = kit.make_plane()
+
+    def test_a_copy_while_running_is_answered_for_its_attempt(self):
+        sent = kit.send(self.plane)
+        self.assertEqual([], kit.send(self.plane, attempt=2))
+        reply = kit.told(kit.answer(self.plane, sent))[0]
+        self.assertEqual(2, reply.attempt)
+
+    def test_a_copy_after_the_answer_gets_the_answer_again(self):
+        first = kit.told(kit.answer(self.plane, kit.send(self.plane)))
+        again = kit.send(self.plane, attempt=2)
+        self.assertEqual([], kit.runs(again))
+        self.assertEqual(first[0].payload, kit.told(again)[0].payload)
+
+    def test_an_answer_that_is_no_longer_held_is_an_unknown_outcome(self):
+        kit.answer(self.plane, kit.send(self.plane))
+        self.plane._executor.outcomes._answers = AnswerCache()
+        self.assertEqual([201], kit.codes(kit.send(self.plane)))
+
+    def test_a_refused_id_never_runs_later(self):
+        refusal = kit.codes(kit.send(self.plane, deadline_ms=0))
+        again = kit.send(self.plane, attempt=2)
+        self.assertEqual([103], refusal)
+        self.assertEqual([103], kit.codes(again))
+
+    def test_ids_of_an_earlier_token_are_too_old(self):
+        token = kit.make_token(first=5)
+        actions = kit.send(self.plane, 4, token)
+        self.assertEqual([203], kit.codes(actions))
+
+    def test_ids_below_the_floor_are_too_old(self):
+        for request_id in range(1, 1100):
+            kit.send(self.plane, request_id, deadline_ms=0)
+        self.assertEqual([203], kit.codes(kit.send(self.plane, 2)))
+
+    def test_too_many_flows_are_not_promised_anything(self):
+        with mock.patch.object(requestlogs, 'MAX_FLOWS', 0):
+            actions = kit.send(self.plane, deadline_ms=0)
+        self.assertEqual([201], kit.codes(actions))
+
+    def test_a_log_outlives_a_long_pause(self):
+        kit.answer(self.plane, kit.send(self.plane))
+        for now_s in (0, 5000, 5003, 5004):
+            self.plane.tick(now_s)
+        self.assertEqual([], kit.runs(kit.send(self.plane, now_s=5005)))
+
+    def test_a_datagram_read_after_a_long_pause_is_not_run(self):
+        self.plane.tick(0)
+        self.assertEqual([201], kit.codes(kit.send(self.plane, now_s=5000)))
+
+
+class PauseTests(testtools.TestCase):
+    """Guards against promises that a paused or cut off process cannot keep."""
+
+    def fill(self, plane, **fields):
+        for request_id in range(1, kit.SLOTS + 1):
+            kit.send(plane, request_id, deadline_ms=60000)
+        return kit.send(plane, kit.SLOTS + 1, **fields)
+
+    def test_the_deadline_is_checked_again_before_sending(self):
+        plane = kit.make_plane()
+        self.assertEqual([], self.fill(plane))
+        actions = plane.tick(5)
+        self.assertEqual([103], kit.codes(actions))
+        self.assertEqual([], kit.runs(actions))
+
+    def test_after_a_pause_a_repeatable_request_may_have_run_elsewhere(self):
+        plane = kit.make_plane()
+        self.fill(plane, is_repeatable=True)
+        self.assertEqual([201], kit.codes(plane.tick(5)))
+
+    def test_so_it_may_while_a_host_of_the_pool_is_not_seen(self):
+        plane = kit.make_plane(hosts=('a', 'b'))
+        for repeatable, code in ((False, 103), (True, 201)):
+            actions = kit.send(
+                plane,
+                1 + repeatable,
+                is_repeatable=repeatable,
+                deadline_ms=0,
+            )
+            self.assertEqual([code], kit.codes(actions))
+
+
+class AnswerTests(testtools.TestCase):
+    """Guards against answers that are mixed, partial or another caller's."""
+
+    def setUp(self):
+        super().setUp()
+        self.plane = kit.make_plane()
+        self.sent = kit.send(self.plane, is_repeatable=True, deadline_ms=60000)
+
+    def test_parts_in_any_order_are_sent_once_they_are_whole(self):
+        for part in (2, 0, 2, 0):
+            actions = kit.answer(self.plane, self.sent, part, 3, bytes([part]))
+            self.assertEqual([], actions)
+        actions = kit.answer(self.plane, self.sent, 1, 3, b'\x01')
+        whole = b''.join(message.payload for message in kit.told(actions))
+        self.assertEqual(b'\x00\x01\x02', whole)
+
+    def test_what_is_not_of_this_run_is_dropped(self):
+        for wrong in (
+            {'run_id': 1},
+            {'caller': wire.Endpoint('10.0.0.2', 4000)},
+            {'source': wire.Endpoint('10.1.0.9', 1)},
+            {'service_id': 'incident-upload'},
+            {'part': 1},
+            {'parts': 0},
+            {'parts': 2**40},
+        ):
+            actions = kit.answer(self.plane, self.sent, **wrong)
+            self.assertEqual([], actions, wrong)
+
+    def test_a_second_run_is_not_mixed_with_the_first(self):
+        kit.answer(self.plane, self.sent, 0, 2, b'old')
+        again = self.plane.tick(10)
+        second = [each for each in again if kit.runs([each])]
+        self.assertNotEqual(kit.target(self.sent), kit.target(second))
+        self.assertEqual(
+            [],
+            kit.answer(self.plane, self.sent, 1, 2, b'old', 10),
+        )
+        actions = kit.answer(self.plane, second, now_s=10)
+        self.assertEqual([b'y'], [each.payload for each in kit.told(actions)])
+
+    def test_a_request_that_may_not_be_repeated_is_given_up(self):
+        sent = kit.send(self.plane, 2, deadline_ms=60000)
+        self.assertIn(206, kit.codes(self.plane.tick(10)))
+        self.assertEqual([], kit.answer(self.plane, sent, now_s=11))
+
+    def test_a_lost_backend_server_is_not_waited_for(self):
+        health = kit.FixedHealth()
+        plane = kit.make_plane(health=health)
+        kit.send(plane, deadline_ms=60000)
+        health.bad.add('dw-0')
+        plane.tick(0.1)
+        self.assertEqual([204], kit.codes(plane.tick(0.7)))
+
+
+class ShedTests(testtools.TestCase):
+    """Guards against "not run" for a request that ran elsewhere before."""
+
+    def setUp(self):
+        super().setUp()
+        self.plane = kit.make_plane()
+
+    def test_a_shed_run_is_tried_elsewhere_within_the_budget(self):
+        sent = kit.send(self.plane)
+        again = kit.shed(self.plane, sent)
+        self.assertNotEqual(kit.target(sent), kit.target(again))
+        refused = kit.shed(self.plane, again)
+        self.assertEqual([105], kit.codes(refused))
+        self.assertTrue(kit.told(refused)[0].retry_after_ms)
+
+    def test_a_shed_after_a_run_without_an_answer_is_an_unknown_outcome(self):
+        kit.send(self.plane, is_repeatable=True, deadline_ms=12000)
+        again = self.plane.tick(10)
+        second = [each for each in again if kit.runs([each])]
+        with mock.patch.object(RetryBudget, 'take', return_value=False):
+            actions = kit.shed(self.plane, second, 10)
+        self.assertEqual([201], kit.codes(actions))
+
+    def test_a_shed_after_a_part_of_the_answer_is_not_believed(self):
+        sent = kit.send(self.plane)
+        kit.answer(self.plane, sent, 0, 2)
+        self.assertEqual([], kit.shed(self.plane, sent))
+
+
+class CancelTests(testtools.TestCase):
+    """Guards against cancellations that lose a slot or the truth."""
+
+    def setUp(self):
+        super().setUp()
+        self.plane = kit.make_plane()
+
+    def test_a_waiting_request_is_not_run(self):
+        for request_id in range(1, kit.SLOTS + 2):
+            kit.send(self.plane, request_id)
+        actions = kit.cancel(self.plane, kit.SLOTS + 1)
+        self.assertEqual([109], kit.codes(actions))
+
+    def test_a_running_request_frees_its_slot(self):
+        for request_id in range(1, kit.SLOTS + 2):
+            kit.send(self.plane, request_id)
+        actions = kit.cancel(self.plane, 1)
+        self.assertEqual([205], kit.codes(actions))
+        kinds = [type(each) for each in kit.orders(actions)]
+        self.assertEqual([wire.CancelRun, wire.Run], kinds)
+
+    def test_a_cancellation_that_overtakes_its_request_holds(self):
+        self.assertEqual([109], kit.codes(kit.cancel(self.plane)))
+        self.assertEqual([109], kit.codes(kit.send(self.plane)))
+
+    def test_an_answered_request_keeps_its_answer(self):
+        kit.answer(self.plane, kit.send(self.plane, attempt=3))
+        reply = kit.told(kit.cancel(self.plane))[0]
+        self.assertEqual((3, b'y'), (reply.attempt, reply.payload))
+
+
+class HandoverTests(testtools.TestCase):
+    """Guards against two processes that may run the same id."""
+
+    def setUp(self):
+        super().setUp()
+        self.leaver = kit.make_plane('a', ('a', 'b'))
+        self.sent = kit.send(self.leaver)
+        kit.send(self.leaver, 2, deadline_ms=0)
+        self.bodies = self.leaver.leave(0)
+
+    def hand_over(self, plane):
+        for action in self.bodies:
+            plane.on_requests_handed_over(
+                RequestsHandedOver('a', 1, action.service_id, action.body),
+                0,
+            )
+
+    def make_successor(self, incarnation=1):
+        plane = kit.make_plane('b', ('b',))
+        plane._succession._incarnation = incarnation
+        self.hand_over(plane)
+        return plane
+
+    def test_the_leaving_process_finishes_what_it_has(self):
+        self.assertEqual('b', self.leaver.successor)
+        self.assertEqual('b', fate(kit.send(self.leaver, 3)))
+        reply = kit.told(kit.answer(self.leaver, self.sent))
+        self.assertEqual([b'y'], [each.payload for each in reply])
+        self.assertTrue(self.leaver.is_idle())
+
+    def test_the_successor_runs_only_what_was_not_handed_over(self):
+        plane = self.make_successor()
+        self.assertEqual([201], kit.codes(kit.send(plane, 1)))
+        self.assertEqual([103], kit.codes(kit.send(plane, 2)))
+        self.assertEqual('run', fate(kit.send(plane, 3)))
+
+    def test_it_asks_the_leaving_process_while_that_lives(self):
+        plane = self.make_successor()
+        plane.on_live_view(kit.make_view('b', {'a': 1, 'b': 1}), 0)
+        self.assertEqual('a', fate(kit.send(plane, 1)))
+
+    def test_another_incarnation_of_the_successor_takes_nothing_over(self):
+        plane = self.make_successor(incarnation=2)
+        self.assertEqual([202], kit.codes(kit.send(plane, 3)))
+
+    def test_a_repeated_handover_changes_nothing(self):
+        plane = self.make_successor()
+        kit.send(plane, 3, deadline_ms=0)
+        self.hand_over(plane)
+        self.assertEqual([103], kit.codes(kit.send(plane, 3)))
+
+    def test_others_find_the_successor_when_the_process_is_gone(self):
+        plane = kit.make_plane('c', ('c',))
+        live = {'a': 1, 'b': 1, 'c': 1}
+        plane.on_live_view(kit.make_view('c', live, {'a': 'b'}), 0)
+        plane.on_live_view(kit.make_view('c', {'b': 1, 'c': 1}), 0)
+        self.assertEqual('b', fate(kit.send(plane, 3)))
+
+    def test_without_a_successor_new_requests_are_refused(self):
+        plane = kit.make_plane()
+        plane.leave(0)
+        self.assertEqual([111], kit.codes(kit.send(plane)))
+
+    def test_noise_is_not_a_handover(self):
+        plane = kit.make_plane('b', ('b',))
+        noise = RequestsHandedOver('a', 1, kit.SERVICE, b'\xc1')
+        self.assertEqual([], plane.on_requests_handed_over(noise, 0))
+        self.assertEqual([202], kit.codes(kit.send(plane)))
+
+
+class OddRequestTests(testtools.TestCase):
+    """Guards against exceptions and wrong codes for unusable requests."""
+
+    def test_each_is_refused_or_run_without_an_exception(self):
+        for fields, expected in (
+            ({'deadline_ms': 2**64 - 1}, 'run'),
+            ({'attempt': 2**64 - 1}, 'run'),
+            ({'deadline_ms': -5}, 103),
+            ({'priority_class': 'none'}, 106),
+            ({'payload': bytes(1401)}, 113),
+            ({'request_id': 0}, 203),
+        ):
+            fields = {'request_id': 1, **fields}
+            actions = kit.send(kit.make_plane(), **fields)
+            self.assertEqual(expected, fate(actions), fields)
+
+    def test_a_service_without_usable_backend_servers_refuses_at_once(self):
+        health = kit.FixedHealth({each.backend_id for each in kit.BACKENDS})
+        actions = kit.send(kit.make_plane(health=health))
+        self.assertEqual([104], kit.codes(actions))
 
-    def test_a_lost_executor_is_never_reported_as_not_run(self):
-        refusal = told(send(make_plane('b', live=('b',))))[0]
-        self.assertEqual(202, refusal.code)
+    def test_a_service_that_is_not_configured_is_not_ready(self):
+        plane = kit.make_plane()
+        pool = kit.make_pool()
+        plane.configure(type(pool)(pool.members, ()), 0)
+        self.assertEqual([112], kit.codes(kit.send(plane)))
--- a/tests/stateful/test_requests.py
+++ b/tests/stateful/test_requests.py
@@ -207,3 +207,22 @@
             derandomize=True,
         )
         machine.runTest()
+
+
+class FoundCaseTests(testtools.TestCase):
+    """Minimal failing examples that the state machine found."""
+
+    def test_a_late_handover_is_not_for_a_restarted_successor(self):
+        # The successor refused the request; a repeated handover then reached
+        # its next incarnation, which ran the request.
+        world = World()
+        sent = world.send(CALLERS[0], 'h0')
+        world.leave('h0')
+        world.deliver(1)
+        successor = world.hosts['h0'].plane.successor
+        world.cancel(sent, successor)
+        world.advance(2.5)
+        world.deliver(1)
+        world.restart(successor)
+        world.settle()
+        check_runs(world)
