Add planned changes and the operators' command line

Cause: operators had no way to put declarations in force, to drain or to see what is in force. Ruled out: a plan that fixes the versions of the whole pool (operators of different services would conflict; the promises are checked again at apply instead); deleting a service's object (its version would start again, so it stays as a record without backend servers); comparing addresses over all pools (claim objects make the race for an address one conditional write). Tried and reverted: an optional msgspec.Raw for the replaced value; a plan file with one did not decode, seen in test_cli. Conclusion: an interrupted apply can be run again and writes each object once; of racing operators one is accepted and the others are told by whom and what changed.

--- a/src/currantshore/declarations.py
+++ b/src/currantshore/declarations.py
@@ -11,7 +11,7 @@
 import tomllib
 from collections.abc import Mapping
 from pathlib import Path
-from typing import Annotated, Final, TypeAlias
+from typing import Annotated, Final, TypeAlias, TypeVar
 
 import msgspec
 
@@ -37,6 +37,8 @@
 POOL_FILE: Final = 'pool.toml'
 SERVICES_DIRECTORY: Final = 'services'
 
+_StructT = TypeVar('_StructT', bound=msgspec.Struct)
+
 Identifier: TypeAlias = Annotated[
     str,
     msgspec.Meta(
@@ -184,12 +186,9 @@
     """
     faults = Faults()
     pool_file, *service_files = _read_files(directory, faults, address_map)
-    pool = convert_table(
-        pool_file.table, PoolDeclaration, pool_file.name, faults
-    )
+    pool = _convert(pool_file, PoolDeclaration, faults)
     converted = [
-        convert_table(one.table, ServiceDeclaration, one.name, faults)
-        for one in service_files
+        _convert(one, ServiceDeclaration, faults) for one in service_files
     ]
     check_files(pool_file, service_files, faults)
     services = tuple(one for one in converted if one is not None)
@@ -244,6 +243,17 @@
     }
 
 
+def _convert(
+    file: DeclarationFile,
+    kind: type[_StructT],
+    faults: Faults,
+) -> _StructT | None:
+    # A file that could not be read has been reported as a whole.
+    if not file.table:
+        return None
+    return convert_table(file.table, kind, file.name, faults)
+
+
 def _read_files(
     directory: Path,
     faults: Faults,
@@ -266,13 +276,17 @@
 
 
 def _read_table(file: Path, name: str, faults: Faults) -> Table:
+    table: Table = {}
     try:
-        return tomllib.loads(file.read_text(encoding='utf-8'))
+        table = tomllib.loads(file.read_text(encoding='utf-8'))
     except FileNotFoundError:
         faults.problems.append(f'{name}: the file is missing in {file.parent}')
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         faults.problems.append(f'{name}: not a TOML file: {error}')
-    return {}
+    else:
+        if not table:
+            faults.problems.append(f'{name}: the file is empty')
+    return table
 
 
 def _replace_endpoints(table: Table, address_map: Mapping[str, str]) -> Table:
--- /dev/null
+++ b/src/currantshore/internal/operatorsettings.py
@@ -0,0 +1,127 @@
+"""Settings of the operators' commands: flags and environment variables.
+
+Each flag ``--some-name`` has a variable ``CURRANTSHORE_SOME_NAME``; a flag
+wins. One error names every bad setting.
+"""
+
+import dataclasses
+import getpass
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Final, Self
+
+from currantshore.errors import InvalidArgumentError, SettingsError
+from currantshore.internal.writers import check_operator
+
+_PREFIX: Final = 'CURRANTSHORE_'
+_DEFAULT_TIMEOUT_S: Final = '2.0'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OperatorSettings:
+    """Checked settings; ``pool_id`` is empty for commands without one."""
+
+    platform_url: str
+    platform_timeout_s: float
+    operator: str
+    pool_id: str
+
+    @classmethod
+    def from_values(
+        cls,
+        flags: Mapping[str, str],
+        environ: Mapping[str, str],
+        *,
+        needs_pool: bool,
+    ) -> Self:
+        """Take each setting from its flag, its variable or its default.
+
+        Raises:
+            SettingsError: lists every bad setting.
+        """
+        problems: list[str] = []
+        settings = cls(
+            _read_url(flags, environ, problems),
+            _read_timeout_s(flags, environ, problems),
+            _read_operator(flags, environ, problems),
+            _find(flags, environ, 'pool_id'),
+        )
+        if needs_pool and not settings.pool_id:
+            problems.append(_describe('pool_id', '', 'the id of a pool'))
+        if problems:
+            raise SettingsError(problems)
+        return settings
+
+
+def find_address_map(flag: Path | None, environ: Mapping[str, str]) -> str:
+    """Return the path of the address map, or an empty text."""
+    given = '' if flag is None else str(flag)
+    return _find({'address_map': given}, environ, 'address_map')
+
+
+def _find(
+    flags: Mapping[str, str],
+    environ: Mapping[str, str],
+    name: str,
+) -> str:
+    return flags.get(name) or environ.get(_variable(name), '')
+
+
+def _variable(name: str) -> str:
+    return f'{_PREFIX}{name.upper()}'
+
+
+def _describe(name: str, given: str, accepted: str) -> str:
+    flag = name.replace('_', '-')
+    return (
+        f'{name}={given!r} is not accepted; expected {accepted}; pass '
+        f'--{flag} or set {_variable(name)}'
+    )
+
+
+def _read_url(
+    flags: Mapping[str, str],
+    environ: Mapping[str, str],
+    problems: list[str],
+) -> str:
+    url = _find(flags, environ, 'platform_url')
+    if not url.startswith(('http://', 'https://')):
+        accepted = 'a URL that starts with http:// or https://'
+        problems.append(_describe('platform_url', url, accepted))
+    return url
+
+
+def _read_timeout_s(
+    flags: Mapping[str, str],
+    environ: Mapping[str, str],
+    problems: list[str],
+) -> float:
+    name = 'platform_timeout_s'
+    text = _find(flags, environ, name) or _DEFAULT_TIMEOUT_S
+    try:
+        timeout_s = float(text)
+    except ValueError:
+        timeout_s = 0
+    if not 0 < timeout_s < float('inf'):
+        problems.append(_describe(name, text, 'a number of seconds above 0'))
+    return timeout_s
+
+
+def _read_operator(
+    flags: Mapping[str, str],
+    environ: Mapping[str, str],
+    problems: list[str],
+) -> str:
+    operator = _find(flags, environ, 'operator') or _login_name()
+    try:
+        check_operator(operator)
+    except InvalidArgumentError as error:
+        problems.append(f'{error}; pass --operator')
+    return operator
+
+
+def _login_name() -> str:
+    try:
+        return getpass.getuser()
+    except (OSError, KeyError):
+        return ''
--- /dev/null
+++ b/src/currantshore/planning.py
@@ -0,0 +1,395 @@
+"""Planned changes: ``plan`` compares, ``apply`` writes.
+
+A plan holds the records that it will write and the versions that it was made
+against. Each write is conditional on its version and carries the plan's
+writer id, so a plan can be applied again after an interruption: a step whose
+object carries the plan's id is done, one whose object is still at the planned
+version is to do, and any other is a conflict with another operator.
+"""
+
+import dataclasses
+import secrets
+from collections.abc import Callable, Iterable, Mapping
+from typing import Final
+
+import msgspec
+
+from currantshore.declarations import Declarations
+from currantshore.errors import (
+    InvalidArgumentError,
+    PlanRefusedError,
+    VersionConflictError,
+)
+from currantshore.internal.differences import describe_change
+from currantshore.internal.inforce import (
+    AddressClaim,
+    InForce,
+    Record,
+    claim_key,
+    decode_record,
+    encode_record,
+    read_in_force,
+    records_by_key,
+    retire,
+)
+from currantshore.internal.objects import PlatformObject
+from currantshore.internal.overlay import describe_conflict, overlay
+from currantshore.internal.platform import PlatformClient
+from currantshore.internal.promises import Evidence, broken_promises
+from currantshore.internal.snapshot import (
+    PoolSnapshot,
+    ServiceSnapshot,
+    service_key,
+)
+from currantshore.internal.status import read_status
+from currantshore.internal.writers import check_operator, operator_of
+
+PLAN_FORMAT: Final = 1
+_PLAN_ID_SIZE_BYTES: Final = 8
+# msgspec does not decode an optional Raw, so a missing value is a JSON null.
+_NULL: Final = msgspec.Raw(b'null')
+
+
+class Step(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One conditional write; ``base`` is the value that it replaces."""
+
+    key: str
+    planned_version: int
+    value: msgspec.Raw
+    base: msgspec.Raw = _NULL
+
+    def replaced(self) -> msgspec.Raw | None:
+        """Return the value that it replaces, None when it creates one."""
+        return None if bytes(self.base) == bytes(_NULL) else self.base
+
+
+class Plan(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A planned change, as written to the plan file."""
+
+    plan_id: str
+    pool_id: str
+    operator: str
+    revision: int
+    summary: tuple[str, ...]
+    steps: tuple[Step, ...]
+    assumed_drained: tuple[str, ...] = ()
+    format: int = PLAN_FORMAT
+
+    @property
+    def writer(self) -> str:
+        """The writer id of the plan's writes."""
+        return f'{self.operator}/plan-{self.plan_id}'
+
+
+class StepResult(msgspec.Struct, frozen=True):
+    """What became of a step.
+
+    ``was_in_force`` tells that an earlier run had written it already, and
+    ``overwritten_by`` names the operator who has changed the object since.
+    """
+
+    key: str
+    version: int
+    was_in_force: bool
+    overwritten_by: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Outlook:
+    """The steps of a plan compared with the platform."""
+
+    done: tuple[StepResult, ...]
+    to_do: tuple[tuple[Step, PlatformObject | None], ...]
+    conflicts: tuple[str, ...]
+
+
+async def make_plan(
+    client: PlatformClient,
+    declarations: Declarations,
+    operator: str,
+    assumed_drained: Iterable[str] = (),
+    new_id: Callable[[int], str] = secrets.token_hex,
+) -> Plan:
+    """Compare declarations with what is in force.
+
+    A plan without steps says that everything is in force. ``new_id`` takes a
+    size in bytes and returns an id that no other plan has.
+
+    Raises:
+        PlanRefusedError: the change would break promises to users; lists all.
+        PlatformUnavailableError: when the platform does not answer.
+    """
+    check_operator(operator)
+    pool_id = declarations.pool.pool_id
+    in_force = await read_in_force(client, pool_id)
+    after = declarations.to_snapshot(in_force.pool)
+    drained = frozenset(assumed_drained)
+    evidence = Evidence(await read_status(client, pool_id), drained)
+    problems = broken_promises(in_force.pool, after, evidence)
+    steps, held = await _plan_steps(client, in_force, after)
+    problems.extend(held)
+    if problems:
+        raise PlanRefusedError(problems)
+    return Plan(
+        new_id(_PLAN_ID_SIZE_BYTES),
+        pool_id,
+        operator,
+        in_force.revision,
+        tuple(describe_change(in_force.pool, after)),
+        tuple(steps),
+        tuple(sorted(drained)),
+    )
+
+
+def encode_plan(plan: Plan) -> bytes:
+    """Return the contents of the plan file."""
+    text = msgspec.json.format(msgspec.json.encode(plan), indent=1)
+    return b'%b\n' % text
+
+
+def decode_plan(content: bytes) -> Plan:
+    """Read a plan file.
+
+    Raises:
+        InvalidArgumentError: when it is not a plan of this format.
+    """
+    try:
+        plan = msgspec.json.decode(content, type=Plan)
+    except msgspec.DecodeError as error:
+        raise InvalidArgumentError(
+            f'the plan file is not readable ({error}); make the plan again'
+        ) from error
+    if plan.format != PLAN_FORMAT:
+        raise InvalidArgumentError.from_value(
+            'format', plan.format, f'{PLAN_FORMAT}; make the plan again'
+        )
+    steps = tuple(_compact(step) for step in plan.steps)
+    return msgspec.structs.replace(plan, steps=steps)
+
+
+def _compact(step: Step) -> Step:
+    # The indentation of the plan file is no part of the stored values.
+    return msgspec.structs.replace(
+        step,
+        value=msgspec.Raw(msgspec.json.format(step.value, indent=-1)),
+        base=msgspec.Raw(msgspec.json.format(step.base, indent=-1)),
+    )
+
+
+async def apply_plan(
+    client: PlatformClient,
+    plan: Plan,
+) -> tuple[StepResult, ...]:
+    """Write the plan's steps, if what it was planned against is in force.
+
+    Returns the result of each step, in the plan's order.
+
+    Raises:
+        VersionConflictError: another operator has changed an object of the
+            plan; says who and what. Steps may be in force already when the
+            other operator was faster in the middle of this call.
+        PlanRefusedError: together with other operators' changes, the plan
+            would break promises to users.
+        PlatformUnavailableError: some steps may be in force; apply again.
+    """
+    in_force = await read_in_force(client, plan.pool_id)
+    outlook = await _compare(client, plan, in_force)
+    if outlook.conflicts:
+        raise _conflict(plan, outlook.done, outlook.conflicts)
+    if outlook.to_do:
+        await _check_promises(client, plan, in_force)
+    results = list(outlook.done)
+    to_do = list(outlook.to_do)
+    while to_do:
+        step, current = to_do.pop(0)
+        results.append(await _write(client, plan, step, current, results))
+    order = [step.key for step in plan.steps]
+    return tuple(sorted(results, key=lambda one: order.index(one.key)))
+
+
+async def _plan_steps(
+    client: PlatformClient,
+    in_force: InForce,
+    after: PoolSnapshot,
+) -> tuple[list[Step], list[str]]:
+    """Return the steps in the order of writing, and addresses held by others.
+
+    Claims come before the services that need them, and a service that is
+    taken away is written before its claim is given back.
+    """
+    gone = _missing_from(after, in_force.pool)
+    added = _missing_from(in_force.pool, after)
+    claims, held = await _claim_steps(client, in_force.pool_id, added)
+    records = dict(records_by_key(after))
+    for service in gone:
+        key = service_key(in_force.pool_id, service.service_id)
+        records[key] = retire(service)
+    steps = [
+        step
+        for key, record in records.items()
+        for step in _step(key, in_force.objects.get(key), record)
+    ]
+    released = await _release_steps(client, gone)
+    return [*claims, *steps, *released], held
+
+
+def _missing_from(
+    pool: PoolSnapshot | None,
+    other: PoolSnapshot | None,
+) -> list[ServiceSnapshot]:
+    """Return the services of ``other`` that ``pool`` does not have."""
+    known = set() if pool is None else {one.service_id for one in pool.services}
+    services = () if other is None else other.services
+    return [one for one in services if one.service_id not in known]
+
+
+def _step(
+    key: str,
+    found: PlatformObject | None,
+    record: Record,
+) -> list[Step]:
+    value = msgspec.Raw(encode_record(record))
+    if found is None:
+        return [Step(key, 0, value)]
+    # Compared as records: another release may order the fields differently.
+    if decode_record(key, found.value) == decode_record(key, value):
+        return []
+    return [Step(key, found.version, value, found.value)]
+
+
+async def _claim_steps(
+    client: PlatformClient,
+    pool_id: str,
+    added: Iterable[ServiceSnapshot],
+) -> tuple[list[Step], list[str]]:
+    steps: list[Step] = []
+    held: list[str] = []
+    waiting = list(added)
+    while waiting:
+        service = waiting.pop(0)
+        key = claim_key(service.address)
+        owner = service_key(pool_id, service.service_id)
+        found = await client.get(key)
+        claimed = _claimed_by(found)
+        if claimed not in ('', owner):
+            held.append(
+                f'address {service.address.host}:{service.address.port} of '
+                f'service {service.service_id} belongs to {claimed}; declare '
+                'another address'
+            )
+            continue
+        steps.extend(_step(key, found, AddressClaim(owner)))
+    return steps, held
+
+
+async def _release_steps(
+    client: PlatformClient,
+    gone: Iterable[ServiceSnapshot],
+) -> list[Step]:
+    steps: list[Step] = []
+    waiting = list(gone)
+    while waiting:
+        key = claim_key(waiting.pop(0).address)
+        found = await client.get(key)
+        steps.extend(_step(key, found, AddressClaim('')))
+    return steps
+
+
+def _claimed_by(found: PlatformObject | None) -> str:
+    if found is None:
+        return ''
+    return msgspec.json.decode(found.value, type=AddressClaim).service_key
+
+
+async def _compare(
+    client: PlatformClient,
+    plan: Plan,
+    in_force: InForce,
+) -> _Outlook:
+    done: list[StepResult] = []
+    to_do: list[tuple[Step, PlatformObject | None]] = []
+    conflicts: list[str] = []
+    waiting = list(plan.steps)
+    while waiting:
+        step = waiting.pop(0)
+        current = in_force.objects.get(step.key)
+        if current is None:
+            # Claims are not below the pool's prefix.
+            current = await client.get(step.key)
+        if current is not None and plan.writer in current.trail():
+            done.append(_done_before(plan, current))
+        elif step.planned_version == _version(current):
+            to_do.append((step, current))
+        else:
+            conflicts.extend(
+                describe_conflict(step.key, step.replaced(), current)
+            )
+    return _Outlook(tuple(done), tuple(to_do), tuple(conflicts))
+
+
+def _version(found: PlatformObject | None) -> int:
+    return 0 if found is None else found.version
+
+
+def _done_before(plan: Plan, current: PlatformObject) -> StepResult:
+    newest = current.trail()[0]
+    by = '' if newest == plan.writer else operator_of(newest)
+    return StepResult(
+        current.key, current.version, was_in_force=True, overwritten_by=by
+    )
+
+
+def _conflict(
+    plan: Plan,
+    done: Iterable[StepResult],
+    conflicts: Iterable[str],
+) -> VersionConflictError:
+    lines = [f'plan {plan.plan_id} is out of date:', *conflicts]
+    in_force = [step.key for step in done]
+    if in_force:
+        lines.append(f'of this plan, {", ".join(in_force)} is in force')
+    lines.append('make the plan again and look at its differences')
+    return VersionConflictError('\n'.join(lines))
+
+
+async def _check_promises(
+    client: PlatformClient,
+    plan: Plan,
+    in_force: InForce,
+) -> None:
+    status = await read_status(client, plan.pool_id)
+    evidence = Evidence(status, frozenset(plan.assumed_drained))
+    values: Mapping[str, msgspec.Raw] = {
+        step.key: step.value for step in plan.steps
+    }
+    after = overlay(in_force, values)
+    problems = broken_promises(in_force.pool, after, evidence)
+    if problems:
+        raise PlanRefusedError(problems)
+
+
+async def _write(
+    client: PlatformClient,
+    plan: Plan,
+    step: Step,
+    current: PlatformObject | None,
+    done: Iterable[StepResult],
+) -> StepResult:
+    try:
+        written = await client.put_settled(
+            step.key,
+            bytes(step.value),
+            step.planned_version,
+            plan.writer,
+            current,
+        )
+    except VersionConflictError as conflict:
+        found = await client.get(step.key)
+        lines = describe_conflict(step.key, step.replaced(), found)
+        raise _conflict(plan, done, lines) from conflict
+    return StepResult(
+        step.key,
+        written.version,
+        was_in_force=False,
+        overwritten_by=operator_of(written.overwritten_by),
+    )
