--- a/src/currantshore/internal/peerwire.py
+++ b/src/currantshore/internal/peerwire.py
@@ -23,7 +23,8 @@
     (incarnation, counter) known of it. ``configuration_digest`` is a hash of
     the versions held; ``prepared_digest`` is the digest up to which the sender
     prepared every change and had its handovers acknowledged. ``members`` holds
-    packed records of live hosts (see ``internal/roster``).
+    the packed liveness of the pool (see ``internal/packing``). Without
+    ``has_demands`` the demands are those of the heartbeat before.
     """
 
     sender: str
@@ -36,18 +37,28 @@
     demands: dict[str, int]
     successor: str = ''
     members: bytes = b''
+    has_demands: bool = True
 
 
 class Lookup(Message, frozen=True, array_like=True, tag='lookup'):
-    """Asks a flow's owner for the backend server of a flow."""
+    """Asks a flow's owner for the backend server of a flow.
+
+    With ``is_known_only`` the receiver does not place the flow: it answers
+    with an empty ``backend_id`` unless it already knows the flow.
+    """
 
     sender: str
     service_id: str
     flow_key: int
+    is_known_only: bool = False
 
 
 class LookupReply(Message, frozen=True, array_like=True, tag='lookupreply'):
-    """Answers ``Lookup``; an empty ``backend_id`` means a warming owner."""
+    """Answers ``Lookup``.
+
+    An empty ``backend_id`` means a warming owner or, for a lookup of known
+    flows only, a flow that the sender does not know.
+    """
 
     sender: str
     service_id: str
