Measure capacity slopes; settle doubtful backend servers sooner

Cause: at 480 backend servers a prober asks each every 4.5 s, so four failures of one server took up to 18 s; each new live view also ranked all probers.

Ruled out: a higher usual rate, which would take the rest of the control budget.

--- /dev/null
+++ b/bench/statecosts.py
@@ -0,0 +1,137 @@
+"""Memory and apply time of a node's control state against its configuration."""
+
+import gc
+import random
+import time
+import tracemalloc
+from collections.abc import Callable, Sequence
+from typing import Any, Final, TypeAlias
+
+import msgspec
+
+from bench.fits import fit_line
+from bench.virtualpool import (
+    PEER_KEY,
+    VirtualPool,
+    build_pool,
+    with_version,
+)
+from currantshore.core import BalancerCore, CoreConfig
+from currantshore.internal.counters import Counters
+from currantshore.internal.events import ConfigurationChanged
+from currantshore.internal.health import HealthPlane
+from currantshore.internal.snapshot import PoolSnapshot
+
+Figures: TypeAlias = dict[str, Any]
+
+_APPLY_ROUNDS: Final = 5
+_HOSTS: Final = 64
+_BACKENDS_PER_SERVICE: Final = 2
+
+
+def measure_state(sizes: Sequence[int], hosts: Sequence[int]) -> Figures:
+    """Return bytes per service, backend server and member, and apply times.
+
+    ``sizes`` are numbers of services with two backend servers each.
+    """
+    rows = [_service_row(size) for size in sizes]
+    found: Figures = {'services': list(sizes), 'rows': rows}
+    for figure in ('configuration_bytes', 'core_bytes', 'health_bytes'):
+        found[f'fit_{figure}'] = fit_line(sizes, [row[figure] for row in rows])
+    found['fit_apply_s'] = fit_line(sizes, [row['apply_s'] for row in rows])
+    members = [_member_bytes(count) for count in hosts]
+    found['member_hosts'] = list(hosts)
+    found['member_bytes'] = members
+    found['fit_member_bytes'] = fit_line(hosts, members)
+    return found
+
+
+def measure_backends(per_service: Sequence[int], services: int) -> Figures:
+    """Return bytes and apply time by backend servers, services fixed."""
+    counts = [count * services for count in per_service]
+    rows = [_backend_row(count, services) for count in per_service]
+    found: Figures = {'backend_servers': counts, 'rows': rows}
+    for figure in ('configuration_bytes', 'health_bytes', 'core_bytes'):
+        found[f'fit_{figure}'] = fit_line(counts, [row[figure] for row in rows])
+    return found
+
+
+def _service_row(services: int) -> Figures:
+    return _row(build_pool(_HOSTS, services, _BACKENDS_PER_SERVICE))
+
+
+def _backend_row(per_service: int, services: int) -> Figures:
+    return _row(build_pool(_HOSTS, services, per_service))
+
+
+def _row(pool: PoolSnapshot) -> Figures:
+    return {
+        'configuration_bytes': len(msgspec.json.encode(pool)),
+        'core_bytes': _allocated(lambda: _core(pool)),
+        'health_bytes': _allocated(lambda: _health(pool)),
+        'apply_s': _apply_s(pool),
+    }
+
+
+def _allocated(build: Callable[[], object]) -> int:
+    """Return the bytes that the result of ``build`` keeps allocated."""
+    build()
+    gc.collect()
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    kept = build()
+    gc.collect()
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return after - before
+
+
+def _core(pool: PoolSnapshot) -> BalancerCore:
+    core = BalancerCore.from_config(
+        CoreConfig(
+            host_id='host-00',
+            zone='zone-a',
+            incarnation=1,
+            peer_key=PEER_KEY,
+            seed=1,
+        )
+    )
+    core.handle(ConfigurationChanged(pool), 0.0)
+    core.tick(0.05)
+    return core
+
+
+def _health(pool: PoolSnapshot) -> HealthPlane:
+    plane = HealthPlane.from_config(
+        'host-00', Counters(), PEER_KEY, random.Random(1)
+    )
+    plane.configure(pool, 0.0)
+    return plane
+
+
+def _apply_s(pool: PoolSnapshot) -> float:
+    """Return the least CPU time of a core to take one changed service."""
+    core = _core(pool)
+    times_s = []
+    for version in range(2, 2 + _APPLY_ROUNDS):
+        changed = ConfigurationChanged(with_version(pool, 0, version))
+        started_s = time.process_time()
+        core.handle(changed, float(version))
+        times_s.append(time.process_time() - started_s)
+    return round(min(times_s), 6)
+
+
+def _member_bytes(host_count: int) -> int:
+    """Return the bytes of one membership plane that knows its whole pool."""
+    snapshot = build_pool(host_count, 1, 1)
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    pool = VirtualPool(snapshot, 1)
+    pool.run_until(3.0)
+    for node in pool.nodes.values():
+        node.plane.view()
+    gc.collect()
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return round((after - before) / host_count)
--- a/bench/virtualpool.py
+++ b/bench/virtualpool.py
@@ -8,6 +8,7 @@
 import heapq
 import itertools
 import random
+import time
 from collections import Counter
 from collections.abc import Callable, Sequence
 from typing import TypeAlias
@@ -79,7 +80,7 @@
         self.network = network or Network()
         self.now_s = 0.0
         self.nodes: dict[str, Node] = {}
-        self.kinds: Counter[str] = Counter()
+        self.plane_cpu_s = 0.0
         self._incarnations: Counter[str] = Counter()
         self._order = itertools.count()
         self._queue: list[_Due] = []
@@ -145,7 +146,10 @@
         if not node.is_running:
             return
         if not node.is_paused:
-            self._act(node, node.plane.tick(self.now_s))
+            started_s = time.process_time()
+            actions = node.plane.tick(self.now_s)
+            self.plane_cpu_s += time.process_time() - started_s
+            self._act(node, actions)
         self._schedule(self.now_s + TICK_S, lambda: self._tick(node))
 
     def _act(self, node: Node, actions: Sequence[Action]) -> None:
@@ -180,9 +184,13 @@
             # A paused process finds the datagrams in its socket buffer.
             self._deliver_after(TICK_S, target, payload)
             return
+        started_s = time.process_time()
         message = peerwire.unseal(payload, PEER_KEY)
+        actions: list[Action] = []
         if isinstance(message, peerwire.Heartbeat):
-            self._act(node, node.plane.on_heartbeat(message, self.now_s))
+            actions = node.plane.on_heartbeat(message, self.now_s)
+        self.plane_cpu_s += time.process_time() - started_s
+        self._act(node, actions)
 
     def _fetch(self, node: Node, source: str) -> None:
         node.fetch_count += 1
--- a/src/currantshore/internal/health.py
+++ b/src/currantshore/internal/health.py
@@ -54,9 +54,11 @@
         '_expire_s',
         '_failing',
         '_host_id',
+        '_hosts',
         '_last_failure',
         '_peer_key',
         '_pool',
+        '_probers',
         '_probe_id',
         '_repeat_s',
         '_reports',
@@ -101,6 +103,8 @@
         self._weights: dict[str, float] = {}
         self._reports = Reports(host_id)
         self._newcomers: set[str] = set()
+        self._hosts: frozenset[tuple[str, str]] = frozenset()
+        self._probers: dict[tuple[str, str], list[str]] = {}
         self._sole: frozenset[str] = frozenset()
         self._turn = 0
         self._last_failure: dict[str, tuple[float, str]] = {}
@@ -163,7 +167,15 @@
         self._newcomers |= _newcomers(self._view, view) - {self._host_id}
         self._view = view
         self._newcomers &= view.peers.keys()
-        self._assign(now_s)
+        hosts = frozenset(
+            (peer.host_id, peer.zone)
+            for peer in view.peers.values()
+            if not peer.is_leaving
+        )
+        if hosts != self._hosts:
+            self._hosts = hosts
+            self._probers = {}
+            self._assign(now_s)
         return []
 
     def record_success(self, backend_id: str, now_s: float) -> None:
@@ -242,6 +254,10 @@
         report = msgspec.structs.replace(report, verdicts=known)
         if not self._votes.take(report, now_s):
             return []
+        for backend_id, is_usable in known.items():
+            if not (is_usable or self._verdicts[backend_id].is_down):
+                # Give the second vote soon, or find that there is no fault.
+                self._schedule.doubt(backend_id, now_s, is_doubtful=True)
         self._refresh(now_s)
         return []
 
@@ -285,7 +301,7 @@
         sole: set[str] = set()
         for backend_id, backend in self._backends.items():
             is_down = self._verdicts[backend_id].is_down
-            probers = probing.probers(backend, view)
+            probers = self._probers_of(backend, view)
             if is_down or self._host_id in probers:
                 own[backend_id] = self._services[backend_id]
             if probers == [self._host_id]:
@@ -293,6 +309,13 @@
         self._sole = frozenset(sole)
         self._schedule.assign(own, now_s)
 
+    def _probers_of(self, backend: BackendServer, view: LiveView) -> list[str]:
+        """Rank the balancers once; it takes 64 hashes at the target size."""
+        key = (backend.backend_id, backend.zone)
+        if key not in self._probers:
+            self._probers[key] = probing.probers(backend, view)
+        return self._probers[key]
+
     def _fail(self, backend_id: str, now_s: float, *, is_passive: bool) -> None:
         verdict = self._verdicts.get(backend_id)
         if verdict is None:
@@ -319,6 +342,11 @@
             self._failing.discard(backend_id)
         if verdict.is_down and not self._schedule.is_assigned(backend_id):
             self._assign(now_s)
+        self._schedule.doubt(
+            backend_id,
+            now_s,
+            is_doubtful=verdict.is_doubtful,
+        )
 
     def _suspect(self, now_s: float) -> None:
         if not self._failing and not self._suspicion.is_active:
--- a/src/currantshore/internal/probing.py
+++ b/src/currantshore/internal/probing.py
@@ -15,8 +15,11 @@
 _MAX_PROBES_PER_S: Final = 5.0
 _RAISED_FACTOR: Final = 5.0
 RAISED_FOR_S: Final = 10.0
-# Bounds the raised rate when the servers of many services fail together.
-MAX_PROBES_PER_TICK: Final = 4
+# A doubtful backend server is settled within two seconds at any usual rate.
+_DOUBT_INTERVAL_S: Final = 0.4
+# Bounds the raised rates when the servers of many services fail together: 20
+# probes a second are about 800 bytes a second.
+MAX_PROBES_PER_TICK: Final = 1
 
 
 def probers(backend: BackendServer, view: LiveView) -> list[str]:
@@ -39,11 +42,19 @@
 class ProbeSchedule:
     """Probes that are due and probes that wait for their reply."""
 
-    __slots__ = ('_due_s', '_interval_s', '_raised_s', '_services', '_waiting')
+    __slots__ = (
+        '_doubtful',
+        '_due_s',
+        '_interval_s',
+        '_raised_s',
+        '_services',
+        '_waiting',
+    )
 
     def __init__(self) -> None:
         """Start without assignments."""
         self._due_s: dict[str, float] = {}
+        self._doubtful: set[str] = set()
         self._services: dict[str, str] = {}
         self._raised_s: dict[str, float] = {}
         self._waiting: dict[int, tuple[str, float]] = {}
@@ -59,6 +70,7 @@
             for place, backend_id in enumerate(services)
         }
         self._services = dict(services)
+        self._doubtful &= services.keys()
 
     def is_assigned(self, backend_id: str) -> bool:
         """Tell whether this balancer probes ``backend_id``."""
@@ -72,8 +84,28 @@
                     self._due_s[backend_id] = now_s
         self._raised_s[service_id] = now_s + RAISED_FOR_S
 
+    def doubt(
+        self,
+        backend_id: str,
+        now_s: float,
+        *,
+        is_doubtful: bool,
+    ) -> None:
+        """Probe a backend server often until its state is settled."""
+        if not is_doubtful:
+            self._doubtful.discard(backend_id)
+        elif backend_id in self._services:
+            self._doubtful.add(backend_id)
+            soon_s = now_s + _DOUBT_INTERVAL_S
+            self._due_s[backend_id] = min(self._due_s[backend_id], soon_s)
+
+    def _next_s(self, backend_id: str, now_s: float) -> float:
+        if backend_id in self._doubtful:
+            return now_s + _DOUBT_INTERVAL_S
+        return now_s + self.interval_s(self._services[backend_id], now_s)
+
     def interval_s(self, service_id: str, now_s: float) -> float:
-        """Return the time between probes of a backend server."""
+        """Return the usual time between probes of a backend server."""
         if self._raised_s.get(service_id, 0.0) > now_s:
             return self._interval_s / _RAISED_FACTOR
         return self._interval_s
@@ -88,8 +120,7 @@
         due.sort(key=self._due_s.__getitem__)
         chosen = due[:MAX_PROBES_PER_TICK]
         for backend_id in chosen:
-            service_id = self._services[backend_id]
-            self._due_s[backend_id] = now_s + self.interval_s(service_id, now_s)
+            self._due_s[backend_id] = self._next_s(backend_id, now_s)
         return chosen
 
     def wait_for(self, probe_id: int, backend_id: str, now_s: float) -> None:
--- a/src/currantshore/internal/verdicts.py
+++ b/src/currantshore/internal/verdicts.py
@@ -74,6 +74,11 @@
         """Tell whether the newest outcomes are failures."""
         return self._failures > 0
 
+    @property
+    def is_doubtful(self) -> bool:
+        """Tell whether the next few outcomes can change the verdict."""
+        return self._successes > 0 if self.is_down else self.is_failing
+
     def fail(self, now_s: float, *, is_passive: bool) -> None:
         """Note a request that timed out or a probe without a reply."""
         if now_s - self._last_failure_s > _FAILURE_MEMORY_S:
