--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -6,12 +6,17 @@
 
 import argparse
 import json
+import resource
 import sys
 from typing import Any, Final
 
 from bench.healthcosts import measure_health
 from bench.poolcosts import measure_spread, measure_traffic
-from bench.statecosts import measure_backends, measure_state
+from bench.statecosts import (
+    measure_backends,
+    measure_messages,
+    measure_state,
+)
 
 _SEED: Final = 1
 _HOSTS: Final = (8, 16, 32, 64)
@@ -31,16 +36,19 @@
     hosts = _QUICK_HOSTS if is_quick else _HOSTS
     services = _QUICK_SERVICES if is_quick else _SERVICES
     changes = _QUICK_CHANGES if is_quick else _CHANGES
+    resident_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
     duration_s = _QUICK_DURATION_S if is_quick else _DURATION_S
     return {
         'bench': 'capacity',
         'is_quick': is_quick,
         'seed': _SEED,
         'duration_s': duration_s,
+        'resident_after_import_kb': resident_kb,
         'traffic': measure_traffic(hosts, _LOSS_RATIOS, duration_s, _SEED),
         'spread': measure_spread(hosts, _LOSS_RATIOS, range(changes)),
         'health': measure_health(services, hosts[-1]),
         'state': measure_state(services, hosts),
+        'messages': measure_messages(services[-1]),
         'backends': measure_backends(_BACKENDS, services[1]),
     }
 
--- a/bench/statecosts.py
+++ b/bench/statecosts.py
@@ -19,13 +19,17 @@
 from currantshore.core import BalancerCore, CoreConfig
 from currantshore.internal.counters import Counters
 from currantshore.internal.events import ConfigurationChanged
+from currantshore.internal.hashing import stable_hash
 from currantshore.internal.health import HealthPlane
+from currantshore.internal.protos import peers_pb2
 from currantshore.internal.snapshot import PoolSnapshot
 
 Figures: TypeAlias = dict[str, Any]
 
 _APPLY_ROUNDS: Final = 5
 _HOSTS: Final = 64
+_TICK_S: Final = 0.05
+_TICKED_S: Final = 10.0
 _BACKENDS_PER_SERVICE: Final = 2
 
 
@@ -38,6 +42,8 @@
     found: Figures = {'services': list(sizes), 'rows': rows}
     for figure in ('configuration_bytes', 'core_bytes', 'health_bytes'):
         found[f'fit_{figure}'] = fit_line(sizes, [row[figure] for row in rows])
+    ticks = [row['tick_cpu_ratio'] for row in rows]
+    found['fit_tick_cpu_ratio'] = fit_line(sizes, ticks)
     found['fit_apply_s'] = fit_line(sizes, [row['apply_s'] for row in rows])
     members = [_member_bytes(count) for count in hosts]
     found['member_hosts'] = list(hosts)
@@ -56,6 +62,24 @@
     return found
 
 
+def measure_messages(services: int) -> Figures:
+    """Return sizes of what moves when configuration changes."""
+    pool = build_pool(_HOSTS, services, _BACKENDS_PER_SERVICE)
+    request = peers_pb2.FetchConfigurationRequest(
+        sender='host-00',
+        held_versions={
+            stable_hash(key): version
+            for key, version in pool.versions().items()
+        },
+    )
+    return {
+        'fetch_request_bytes': len(request.SerializeToString()),
+        'service_bytes': len(msgspec.json.encode(pool.services[0])),
+        'members_bytes': len(msgspec.json.encode(pool.members)),
+        'status_bytes': len(msgspec.json.encode(_status(pool))),
+    }
+
+
 def _service_row(services: int) -> Figures:
     return _row(build_pool(_HOSTS, services, _BACKENDS_PER_SERVICE))
 
@@ -70,6 +94,7 @@
         'core_bytes': _allocated(lambda: _core(pool)),
         'health_bytes': _allocated(lambda: _health(pool)),
         'apply_s': _apply_s(pool),
+        'tick_cpu_ratio': _tick_cpu_ratio(pool),
     }
 
 
@@ -122,6 +147,22 @@
     return round(min(times_s), 6)
 
 
+def _tick_cpu_ratio(pool: PoolSnapshot) -> float:
+    """Return CPU seconds a second of an idle core's ticks."""
+    core = _core(pool)
+    started_s = time.process_time()
+    for step in range(1, 1 + round(_TICKED_S / _TICK_S)):
+        core.tick(1.0 + step * _TICK_S)
+    elapsed_s = time.process_time() - started_s
+    return round(elapsed_s / _TICKED_S, 6)
+
+
+def _status(pool: PoolSnapshot) -> dict[str, Any]:
+    """Return the status object of a pool whose hosts are all up to date."""
+    versions = _core(pool).status_report()['host-00']
+    return {host.host_id: versions for host in pool.members.hosts}
+
+
 def _member_bytes(host_count: int) -> int:
     """Return the bytes of one membership plane that knows its whole pool."""
     snapshot = build_pool(host_count, 1, 1)
--- a/src/currantshore/internal/fetching.py
+++ b/src/currantshore/internal/fetching.py
@@ -10,8 +10,12 @@
 from collections import OrderedDict
 from typing import Final
 
+from currantshore.internal import chartloader
 from currantshore.internal.configuration import NO_CONFIGURATION
 
+_CHART: Final = chartloader.load('configuration')
+_FETCHING: Final = frozenset(('fetching', 'fetching_first'))
+
 # Spreads the first fetches of a pool after a change.
 _MAX_DELAY_S: Final = 0.4
 # A fetch takes one round trip and a few KB; longer means that it failed.
@@ -37,7 +41,7 @@
 class ConfigurationFetcher:
     """Chooses the peer to fetch from; the caller does the fetch."""
 
-    __slots__ = ('_held', '_offers', '_past', '_rng', '_wait')
+    __slots__ = ('_held', '_offers', '_past', '_rng', '_timeout_s', 'state')
 
     def __init__(self, rng: random.Random) -> None:
         """Start without configuration."""
@@ -45,14 +49,15 @@
         self._held = NO_CONFIGURATION
         self._past: OrderedDict[int, None] = OrderedDict()
         self._offers: OrderedDict[int, _Offer] = OrderedDict()
-        self._wait = float('-inf')
+        self._timeout_s = float('-inf')
+        self.state = _CHART.initial
 
     @property
     def memory_size(self) -> int:
         """Return the number of digests that are remembered."""
         return len(self._past) + len(self._offers)
 
-    def hold(self, digest: int, now_s: float) -> None:
+    def hold(self, digest: int) -> None:
         """Note that this node now holds ``digest``."""
         if digest == self._held:
             return
@@ -62,7 +67,7 @@
             self._past.popitem(last=False)
         self._held = digest
         self._offers.pop(digest, None)
-        self._wait = now_s
+        self._move('hold')
 
     def offer(self, host_id: str, digest: int, now_s: float) -> None:
         """Note that ``host_id`` holds ``digest``."""
@@ -89,8 +94,10 @@
 
     def next_source(self, now_s: float) -> tuple[str, bool] | None:
         """Return the host to fetch from now and whether it is a retry."""
-        if now_s < self._wait:
-            return None
+        if self.state in _FETCHING:
+            if now_s < self._timeout_s:
+                return None
+            self._move('timeout')
         due = [
             offer
             for offer in self._offers.values()
@@ -99,12 +106,16 @@
         if not due:
             return None
         chosen = min(due, key=lambda offer: offer.attempts)
-        self._wait = now_s + _ANSWER_TIMEOUT_S
+        self._move('fetch')
+        self._timeout_s = now_s + _ANSWER_TIMEOUT_S
         is_retry = chosen.attempts > 0
         chosen.attempts += 1
         chosen.not_before_s = now_s + self._backoff_s(chosen.attempts)
         return self._rng.choice(chosen.sources), is_retry
 
+    def _move(self, event: str) -> None:
+        self.state = _CHART.next_state(self.state, event)
+
     def _backoff_s(self, attempts: int) -> float:
         ceiling_s = min(_MAX_BACKOFF_S, _ANSWER_TIMEOUT_S * 2**attempts)
         return self._rng.uniform(ceiling_s / 2, ceiling_s)
--- a/src/currantshore/internal/membership.py
+++ b/src/currantshore/internal/membership.py
@@ -163,7 +163,7 @@
         self._pool = merged
         self._counters.count(Count.CONFIGURATION_CHANGES)
         self._own.digest = configuration.digest_of(merged)
-        self._fetcher.hold(self._own.digest, now_s)
+        self._fetcher.hold(self._own.digest)
         is_first = not self._members
         self._index_members(merged)
         if is_first:
