Ask peers before the platform at start; follow changed addresses

Cause: a host that started during an outage waited for the platform first; a changed service address and connections to removed hosts were kept.

Ruled out: asking both at once, which costs a platform read for each restart.

Conclusion: start during an outage needs no platform timeout.

--- a/src/currantshore/internal/datagrams.py
+++ b/src/currantshore/internal/datagrams.py
@@ -156,6 +156,8 @@
         self._loop = loop
         self._tasks: set[asyncio.Task[None]] = set()
         self.services: dict[str, BatchSocket] = {}
+        # As asked for; a bound socket shows another port for port 0.
+        self._addresses: dict[str, Endpoint] = {}
         self.backend: BatchSocket
         self.peer: BatchSocket
         super().__init__()
@@ -180,15 +182,23 @@
         return datagrams
 
     def open_service(self, service_id: str, address: Endpoint) -> None:
-        """Open the socket of a service unless it is open already."""
-        if service_id not in self.services:
-            self.services[service_id] = self.open_socket(
-                address,
-                lambda batch: self.pass_on(CallerBatch(service_id, batch)),
-            )
+        """Open the socket of a service unless it is open at ``address``.
+
+        Raises ``OSError`` when the address cannot be bound.
+        """
+        if self._addresses.get(service_id) == address:
+            return
+        if service_id in self.services:
+            self.close_service(service_id)
+        self.services[service_id] = self.open_socket(
+            address,
+            lambda batch: self.pass_on(CallerBatch(service_id, batch)),
+        )
+        self._addresses[service_id] = address
 
     def close_service(self, service_id: str) -> None:
         """Close the socket of a service that was removed."""
+        self._addresses.pop(service_id)
         self.services.pop(service_id).close()
 
     def open_socket(
--- a/src/currantshore/internal/following.py
+++ b/src/currantshore/internal/following.py
@@ -50,6 +50,9 @@
 
     async def follow(self) -> None:
         """Learn the first configuration, then watch; runs until cancelled."""
+        # Peers first: a host that restarts needs no read of the platform, and
+        # starts as fast while the platform is down.
+        await self._ask_seed_peers()
         failures = 0
         while True:
             if not self._core.watches_platform():
--- a/src/currantshore/internal/logs.py
+++ b/src/currantshore/internal/logs.py
@@ -1,5 +1,6 @@
 """Structured logs on standard error."""
 
+import logging
 import sys
 from typing import Any, Final
 
@@ -30,8 +31,21 @@
         logger_factory=structlog.PrintLoggerFactory(sys.stderr),
         cache_logger_on_first_use=True,
     )
+    # Libraries log through the standard module.
+    logging.basicConfig(handlers=[_Forwarder()], level=logging.WARNING)
 
 
 def get_logger(component: str) -> Any:
     """Return a logger that names ``component`` in each line."""
     return structlog.get_logger(component=component)
+
+
+class _Forwarder(logging.Handler):
+    """Gives the log records of libraries the form of all other lines."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        get_logger(record.name).log(
+            record.levelno,
+            record.getMessage(),
+            exc_info=record.exc_info,
+        )
--- a/src/currantshore/internal/rpc.py
+++ b/src/currantshore/internal/rpc.py
@@ -9,7 +9,7 @@
 import hashlib
 import hmac
 import socket
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Any, Final, Protocol
 
 import msgspec
@@ -187,11 +187,14 @@
             self._stub(target).HandOverRequests, request
         )
 
+    def keep_only(self, targets: Collection[Endpoint]) -> None:
+        """Close the connections to hosts that have left the pool."""
+        for target in set(self._channels).difference(targets):
+            self._channels.pop(target).close()
+
     def close(self) -> None:
         """Close all connections."""
-        for channel in self._channels.values():
-            channel.close()
-        self._channels.clear()
+        self.keep_only(())
 
     def _stub(self, target: Endpoint) -> peers_grpc.PeersStub:
         if target not in self._channels:
--- a/tests/cover/test_runtime.py
+++ b/tests/cover/test_runtime.py
@@ -5,7 +5,11 @@
 import testtools
 from circuits import Component, Event, handler
 
-from currantshore.internal.datagrams import BATCH_LIMIT, BatchSocket
+from currantshore.internal.datagrams import (
+    BATCH_LIMIT,
+    BatchSocket,
+    Datagrams,
+)
 from currantshore.internal.runtime import LoopRoot
 from currantshore.wire import Endpoint
 from tests.cover.paused import PausedLoop
@@ -134,3 +138,55 @@
         before = list(seen)
         await loop.advance(6, step_s=0.5)
         return before, seen
+
+
+class DatagramsTests(testtools.TestCase):
+    """Guards against a service whose address changed and stays at the old."""
+
+    def setUp(self):
+        super().setUp()
+        self.loop = PausedLoop()
+        self.addCleanup(self.loop.close)
+
+    def test_a_changed_address_opens_another_socket(self):
+        first, second, again = self.loop.run(self._readdress())
+        self.assertNotEqual(first, second)
+        self.assertEqual(second, again)
+
+    def test_a_batch_names_its_service(self):
+        seen = self.loop.run(self._receive())
+        self.assertEqual([('dockwatch', b'one'), ('dockwatch', b'two')], seen)
+
+    async def _readdress(self):
+        datagrams = Datagrams.from_addresses(self.loop, _LOOPBACK, _LOOPBACK)
+        seen = []
+        for host in ('127.0.0.1', '127.0.0.2', '127.0.0.2'):
+            datagrams.open_service('dockwatch', Endpoint(host, 0))
+            seen.append(datagrams.services['dockwatch'].address)
+        await datagrams.close()
+        return seen
+
+    async def _receive(self):
+        root = LoopRoot.from_loop(self.loop, print)
+        collector = Collector().register(root)
+        datagrams = Datagrams.from_addresses(self.loop, _LOOPBACK, _LOOPBACK)
+        datagrams.register(root)
+        datagrams.open_service('dockwatch', _LOOPBACK)
+        target = datagrams.services['dockwatch'].address
+        for payload in (b'one', b'two'):
+            datagrams.backend.send(payload, target)
+        await self.loop.settle()
+        await datagrams.close()
+        return collector.seen
+
+
+class Collector(Component):
+    channel = 'core'
+
+    def __init__(self):
+        self.seen = []
+        super().__init__()
+
+    @handler('caller_batch')
+    def on_caller_batch(self, service_id, batch):
+        self.seen += [(service_id, payload) for payload, _ in batch]
