Name result codes in the request tests

Cause: the tests compared codes by number, and the token codes had been moved, which renumbered four others. Ruled out: moving the numbers back; a bad token must not promise "not run". Change: the tests name the codes; an executor without the service answers NO_BACKEND_SERVER instead of the removed NOT_READY. Conclusion: equally strict, and safe against another renumbering.

--- a/tests/cover/test_executor.py
+++ b/tests/cover/test_executor.py
@@ -6,6 +6,7 @@
 import testtools
 
 from currantshore import wire
+from currantshore.codes import ResultCode
 from currantshore.internal import peerwire, requestlogs
 from currantshore.internal.answercache import AnswerCache
 from currantshore.internal.events import RequestsHandedOver, SendToPeer
@@ -261,7 +262,7 @@
         for request_id in range(1, kit.SLOTS + 2):
             kit.send(self.plane, request_id)
         actions = kit.cancel(self.plane, kit.SLOTS + 1)
-        self.assertEqual([109], kit.codes(actions))
+        self.assertEqual([ResultCode.CANCELLED_BEFORE_RUN], kit.codes(actions))
 
     def test_a_running_request_frees_its_slot(self):
         for request_id in range(1, kit.SLOTS + 2):
@@ -272,8 +273,12 @@
         self.assertEqual([wire.CancelRun, wire.Run], kinds)
 
     def test_a_cancellation_that_overtakes_its_request_holds(self):
-        self.assertEqual([109], kit.codes(kit.cancel(self.plane)))
-        self.assertEqual([109], kit.codes(kit.send(self.plane)))
+        self.assertEqual(
+            [ResultCode.CANCELLED_BEFORE_RUN], kit.codes(kit.cancel(self.plane))
+        )
+        self.assertEqual(
+            [ResultCode.CANCELLED_BEFORE_RUN], kit.codes(kit.send(self.plane))
+        )
 
     def test_an_answered_request_keeps_its_answer(self):
         kit.answer(self.plane, kit.send(self.plane, attempt=3))
@@ -342,7 +347,9 @@
     def test_without_a_successor_new_requests_are_refused(self):
         plane = kit.make_plane()
         plane.leave(0)
-        self.assertEqual([111], kit.codes(kit.send(plane)))
+        self.assertEqual(
+            [ResultCode.BALANCER_LEAVING], kit.codes(kit.send(plane))
+        )
 
     def test_noise_is_not_a_handover(self):
         plane = kit.make_plane('b', ('b',))
@@ -360,7 +367,7 @@
             ({'attempt': 2**64 - 1}, 'run'),
             ({'deadline_ms': -5}, 103),
             ({'priority_class': 'none'}, 106),
-            ({'payload': bytes(1401)}, 113),
+            ({'payload': bytes(1401)}, ResultCode.PAYLOAD_TOO_LARGE),
             ({'request_id': 0}, 203),
         ):
             fields = {'request_id': 1, **fields}
@@ -372,8 +379,10 @@
         actions = kit.send(kit.make_plane(health=health))
         self.assertEqual([104], kit.codes(actions))
 
-    def test_a_service_that_is_not_configured_is_not_ready(self):
+    def test_a_service_that_is_not_configured_has_no_backend_server(self):
         plane = kit.make_plane()
         pool = kit.make_pool()
         plane.configure(type(pool)(pool.members, ()), 0)
-        self.assertEqual([112], kit.codes(kit.send(plane)))
+        self.assertEqual(
+            [ResultCode.NO_BACKEND_SERVER], kit.codes(kit.send(plane))
+        )
