--- a/src/currantshore/internal/requestroutes.py
+++ b/src/currantshore/internal/requestroutes.py
@@ -10,6 +10,9 @@
 # A pool has at most 64 hosts; this covers 16 restarts of each of them.
 MAX_SUCCESSORS: Final = 1024
 
+# In a rolling restart, the successor of one host leaves next.
+_MAX_CHAIN: Final = 64
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunHere:
@@ -47,7 +50,7 @@
         """Start alone, as the process (``host_id``, ``incarnation``)."""
         self._self = (host_id, incarnation)
         self._view: LiveView | None = None
-        self._successors: OrderedDict[Process, str] = OrderedDict()
+        self._successors: OrderedDict[Process, Process] = OrderedDict()
         self._adopted: set[tuple[str, Process]] = set()
 
     @property
@@ -94,14 +97,19 @@
             return RunHere()
         if self.has_adopted(token.service_id, process):
             return RunHere()
-        successor = self._successors.get(process)
-        if successor is not None and not self._serves_itself(process):
-            return self._to_host(successor)
-        return self._to_host(token.executor_id)
+        return self._to_host(self._last_heir(process))
 
-    def _serves_itself(self, process: Process) -> bool:
+    def _last_heir(self, process: Process) -> str:
         # A process that has named a successor still knows the requests that
         # it ran before, so it is asked for as long as it lives.
+        for _ in range(_MAX_CHAIN):
+            heir = self._successors.get(process)
+            if heir is None or self._serves_itself(process):
+                break
+            process = heir
+        return process[0]
+
+    def _serves_itself(self, process: Process) -> bool:
         if self._view is None:
             return False
         peer = self._view.peers.get(process[0])
@@ -113,7 +121,11 @@
         return ExecutorLost()
 
     def _remember(self, process: Process, successor: str) -> None:
-        self._successors[process] = successor
-        self._successors.move_to_end(process)
+        if process in self._successors or self._view is None:
+            return
+        heir = self._view.peers.get(successor)
+        if heir is None:
+            return
+        self._successors[process] = (successor, heir.incarnation)
         while len(self._successors) > MAX_SUCCESSORS:
             self._successors.popitem(last=False)
--- a/tests/cover/test_executor.py
+++ b/tests/cover/test_executor.py
@@ -4,12 +4,14 @@
 from unittest import mock
 
 import testtools
+from msgspec import structs
 
 from currantshore import wire
 from currantshore.internal import peerwire, requestlogs
 from currantshore.internal.answercache import AnswerCache
 from currantshore.internal.events import RequestsHandedOver, SendToPeer
 from currantshore.internal.retrybudget import RetryBudget
+from currantshore.internal.snapshot import BackendState
 from tests.cover import request_kit as kit
 
 
@@ -339,6 +341,28 @@
         plane.on_live_view(kit.make_view('c', {'b': 1, 'c': 1}), 0)
         self.assertEqual('b', fate(kit.send(plane, 3)))
 
+    def test_a_rolling_restart_keeps_the_ids(self):
+        second = kit.make_plane('b', ('b', 'c'))
+        self.hand_over(second)
+        kit.send(second, 3, deadline_ms=0)
+        third = kit.make_plane('c', ('c',))
+        for action in second.leave(0):
+            handed_over = RequestsHandedOver('b', 1, kit.SERVICE, action.body)
+            third.on_requests_handed_over(handed_over, 0)
+        fates = [fate(kit.send(third, number)) for number in (1, 2, 3, 4)]
+        self.assertEqual([201, 103, 103, 'run'], fates)
+
+    def test_others_follow_the_successors_of_a_rolling_restart(self):
+        plane = kit.make_plane('d', ('d',))
+        for live, successors in (
+            ({'a': 1, 'b': 1, 'c': 1}, {'a': 'b'}),
+            ({'a': 2, 'b': 1, 'c': 1}, {'b': 'c'}),
+            ({'a': 2, 'b': 2, 'c': 1}, {}),
+        ):
+            view = kit.make_view('d', {**live, 'd': 1}, successors)
+            plane.on_live_view(view, 0)
+        self.assertEqual('c', fate(kit.send(plane, 3)))
+
     def test_without_a_successor_new_requests_are_refused(self):
         plane = kit.make_plane()
         plane.leave(0)
@@ -372,6 +396,35 @@
         actions = kit.send(kit.make_plane(health=health))
         self.assertEqual([104], kit.codes(actions))
 
+    def test_waiting_requests_are_refused_when_no_server_is_left(self):
+        health = kit.FixedHealth()
+        plane = kit.make_plane(health=health)
+        for request_id in range(1, kit.SLOTS + 2):
+            kit.send(plane, request_id)
+        health.bad.update(each.backend_id for each in kit.BACKENDS)
+        self.assertEqual([104], kit.codes(plane.tick(0.05)))
+
+    def test_a_draining_server_finishes_its_runs_and_gets_no_new_one(self):
+        plane = kit.make_plane()
+        sent = kit.send(plane)
+        draining = structs.replace(kit.BACKENDS[0], state=BackendState.DRAINING)
+        plane.configure(kit.make_pool((draining, *kit.BACKENDS[1:])), 0)
+        again = kit.send(plane, 2)
+        self.assertNotEqual(kit.target(sent), kit.target(again))
+        self.assertEqual(1, len(kit.told(kit.answer(plane, sent))))
+
+    def test_requests_of_a_removed_class_are_refused(self):
+        plane = kit.make_plane()
+        for request_id in range(1, kit.SLOTS + 2):
+            kit.send(plane, request_id, priority_class='bulk')
+        pool = kit.make_pool()
+        service = structs.replace(
+            pool.services[0],
+            priority_classes=pool.services[0].priority_classes[:1],
+        )
+        changed = type(pool)(pool.members, (service,))
+        self.assertEqual([106], kit.codes(plane.configure(changed, 0)))
+
     def test_a_service_that_is_not_configured_is_not_ready(self):
         plane = kit.make_plane()
         pool = kit.make_pool()
