Test the decision core as a whole

Cause: the parts are tested alone; nothing guarded their order, the opening of tokens between services, callers and restarts, or input that raises. Ruled out: only process tests, which cannot reach a clock that went back. Change: tests/cover/test_core.py, with fuzzed datagrams from all three sides.

--- /dev/null
+++ b/tests/cover/test_core.py
@@ -0,0 +1,309 @@
+"""The decision core as a whole: decoding, tokens and the order of its parts."""
+
+import msgspec
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from currantshore import wire
+from currantshore.codes import DropReason, ResultCode, is_not_run
+from currantshore.core import BalancerCore, CoreConfig
+from currantshore.errors import InvalidArgumentError
+from currantshore.internal import peerwire
+from currantshore.internal.events import (
+    BackendDatagram,
+    CallerDatagram,
+    ConfigurationChanged,
+    LeaveRequested,
+    PeerDatagram,
+    SendToBackend,
+    SendToCaller,
+)
+from currantshore.internal.snapshot import (
+    BackendServer,
+    PoolHost,
+    PoolMembers,
+    PoolSnapshot,
+    PriorityClass,
+    ServiceSnapshot,
+)
+
+settings.register_profile('ci', derandomize=True, deadline=None)
+settings.load_profile('ci')
+
+KEY = b'pool key'
+CALLER = wire.Endpoint('10.0.0.1', 4000)
+OTHER = wire.Endpoint('10.0.0.2', 4000)
+HOSTS = ('harbor-1', 'harbor-2')
+# Past the time that a balancer which has just started waits for its peers.
+WARM_S = 10.0
+
+
+def make_service(service_id, first_port, **fields):
+    return ServiceSnapshot(
+        service_id,
+        'lakeshore',
+        wire.Endpoint('10.9.0.1', first_port),
+        2048,
+        tuple(
+            BackendServer(
+                f'{service_id}-{number}',
+                'harbor',
+                wire.Endpoint('10.1.0.1', first_port + number),
+                3,
+            )
+            for number in range(1, 4)
+        ),
+        (PriorityClass('urgent', 0, 0.5),),
+        **fields,
+    )
+
+
+def make_pool(pool_id='lakeshore', hosts=HOSTS):
+    services = (
+        make_service('dockwatch', 100),
+        make_service('incident-upload', 200),
+    )
+    listed = tuple(
+        PoolHost(
+            name,
+            'harbor',
+            wire.Endpoint(name, 1),
+            wire.Endpoint(name, 2),
+        )
+        for name in hosts
+    )
+    members = PoolMembers(pool_id, 'lakeshore', ('harbor',), listed, 1)
+    return PoolSnapshot(members, services)
+
+
+def make_core(host_id='harbor-1', incarnation=1, hosts=HOSTS):
+    core = BalancerCore.from_config(
+        CoreConfig(host_id, 'harbor', incarnation, KEY)
+    )
+    core.handle(ConfigurationChanged(make_pool(hosts=hosts)), 0)
+    core.tick(0.05)
+    for now_s in range(1, int(WARM_S) + 1):
+        core.tick(now_s)
+    return core
+
+
+def from_caller(message, service_id='dockwatch', caller=CALLER):
+    payload = message if isinstance(message, bytes) else wire.encode(message)
+    return CallerDatagram(service_id, caller, payload)
+
+
+def replies(actions):
+    return [
+        wire.decode_from_balancer(action.payload)
+        for action in actions
+        if isinstance(action, SendToCaller)
+    ]
+
+
+def targets(actions):
+    return [
+        action.target for action in actions if isinstance(action, SendToBackend)
+    ]
+
+
+def open_flow(core, token=b'', now_s=WARM_S, first_request_id=1):
+    message = wire.Open(first_request_id, token)
+    (opened,) = replies(core.handle(from_caller(message), now_s))
+    return opened.token
+
+
+def request(token, request_id=1):
+    return wire.Request(request_id, 1, 'urgent', False, 2000, b'x', token)
+
+
+class BadInputTests(testtools.TestCase):
+    """Guards against input that raises out of the loop of a balancer."""
+
+    def setUp(self):
+        super().setUp()
+        self.core = make_core()
+
+    @given(st.binary(max_size=300), st.booleans())
+    def test_no_bytes_from_anywhere_raise(self, noise, is_framed):
+        payload = b''.join((wire.FRAME_MARK, noise)) if is_framed else noise
+        source = wire.Endpoint('10.1.0.1', 101)
+        for event in (
+            from_caller(payload),
+            BackendDatagram(source, payload),
+            PeerDatagram(payload),
+        ):
+            self.core.handle(event, WARM_S)
+
+    @given(
+        st.sampled_from(
+            [
+                peerwire.Lookup('x', 'nowhere', 2**64 - 1),
+                peerwire.LookupReply('x', 'dockwatch', 1, 'no-such-server'),
+                peerwire.RelayedRequest('x', 'dockwatch', CALLER, b''),
+                peerwire.RelayedRequest(
+                    'x', 'dockwatch', CALLER, wire.encode(wire.Open())
+                ),
+                peerwire.HealthReport('x', 'nowhere', {'y': False}),
+            ]
+        )
+    )
+    def test_a_peer_of_another_version_does_no_harm(self, message):
+        event = PeerDatagram(peerwire.seal(message, KEY))
+        self.core.handle(event, WARM_S)
+
+    def test_each_bad_datagram_is_counted_by_its_reason(self):
+        table = (
+            (from_caller(b'x', 'nowhere'), DropReason.UNKNOWN_SERVICE),
+            (from_caller(wire.FRAME_MARK + b'x'), DropReason.MALFORMED),
+            (from_caller(bytes(1601)), DropReason.OVERSIZED),
+            (
+                from_caller(wire.Data(b'x', b'bad token')),
+                DropReason.TOKEN_INVALID,
+            ),
+            (PeerDatagram(b'x' * 20), DropReason.PEER_TAG_INVALID),
+            (BackendDatagram(CALLER, b'x'), DropReason.MALFORMED),
+        )
+        for event, reason in table:
+            before = self.core.counters.drops[reason]
+            actions = self.core.handle(event, WARM_S)
+            self.assertEqual([], actions, reason)
+            self.assertEqual(before + 1, self.core.counters.drops[reason])
+
+    def test_settings_without_meaning_are_named(self):
+        for config in (
+            CoreConfig('', 'harbor', 1, KEY),
+            CoreConfig('a', 'harbor', 1, b''),
+            CoreConfig('a', 'harbor', 1, bytes(65)),
+        ):
+            with testtools.ExpectedException(InvalidArgumentError):
+                BalancerCore.from_config(config)
+
+
+class ReadinessTests(testtools.TestCase):
+    """Guards against serving by a configuration that is not there yet."""
+
+    def test_without_configuration_packets_are_dropped_and_counted(self):
+        core = BalancerCore.from_config(
+            CoreConfig('harbor-1', 'harbor', 1, KEY)
+        )
+        self.assertEqual([], core.handle(from_caller(b'x'), 0))
+        self.assertEqual(1, core.counters.drops[DropReason.NOT_READY])
+        self.assertFalse(core.is_ready())
+        self.assertTrue(core.watches_platform())
+
+    def test_a_snapshot_of_another_pool_changes_nothing(self):
+        core = make_core()
+        held = core.pool()
+        other = ConfigurationChanged(make_pool('beaulac'))
+        self.assertEqual([], core.handle(other, WARM_S))
+        self.assertIs(held, core.pool())
+
+    def test_an_older_version_never_replaces_a_newer_one(self):
+        core = make_core()
+        newer = make_pool()
+        newer = PoolSnapshot(
+            msgspec.structs.replace(newer.members, version=5),
+            newer.services,
+        )
+        core.handle(ConfigurationChanged(newer), WARM_S)
+        core.handle(ConfigurationChanged(make_pool()), WARM_S)
+        self.assertEqual(5, core.pool().members.version)
+
+    def test_a_core_that_leaves_is_not_ready_and_becomes_idle(self):
+        core = make_core(hosts=HOSTS[:1])
+        core.handle(LeaveRequested(), WARM_S)
+        core.handle(LeaveRequested(), WARM_S)
+        self.assertFalse(core.is_ready())
+        self.assertTrue(core.is_idle())
+
+
+class TokenUseTests(testtools.TestCase):
+    """Guards against flows that change their service or backend server."""
+
+    def test_a_flow_opened_again_elsewhere_keeps_its_backend_server(self):
+        first = make_core()
+        second = make_core('harbor-2')
+        for number in range(20):
+            caller = wire.Endpoint('10.0.1.1', number)
+            asked = first.handle(from_caller(wire.Open(), caller=caller), 10)
+            token = replies(asked)[0].token
+            data = wire.Data(b'x', token)
+            used = first.handle(from_caller(data, caller=caller), 10)
+            again = wire.Open(9, token)
+            reopened = second.handle(from_caller(again, caller=caller), 11)
+            data = wire.Data(b'y', replies(reopened)[0].token)
+            moved = second.handle(from_caller(data, caller=caller), 11)
+            self.assertEqual(targets(used), targets(moved))
+
+    def test_a_token_of_another_service_reaches_no_backend_server(self):
+        core = make_core()
+        token = open_flow(core)
+        stolen = from_caller(wire.Data(b'x', token), 'incident-upload')
+        self.assertEqual([], core.handle(stolen, WARM_S))
+
+    def test_a_copied_token_does_not_work_for_another_caller(self):
+        core = make_core()
+        token = open_flow(core)
+        copied = from_caller(request(token), caller=OTHER)
+        (refusal,) = replies(core.handle(copied, WARM_S))
+        self.assertEqual(ResultCode.TOKEN_INVALID, refusal.code)
+
+    def test_a_request_without_token_is_told_so(self):
+        core = make_core()
+        actions = core.handle(from_caller(request(b'')), WARM_S)
+        self.assertEqual(ResultCode.TOKEN_MISSING, replies(actions)[0].code)
+
+
+class RestartTests(testtools.TestCase):
+    """Guards against a restarted executor that runs what it ran before."""
+
+    def test_requests_of_the_process_before_are_never_called_not_run(self):
+        token = open_flow(make_core(incarnation=1))
+        restarted = make_core(incarnation=2)
+        actions = restarted.handle(from_caller(request(token)), WARM_S)
+        self.assertEqual([], targets(actions))
+        self.assertFalse(is_not_run(ResultCode(replies(actions)[0].code)))
+
+    def test_a_clock_that_went_back_does_not_revive_old_tokens(self):
+        # The process before had incarnation 5 and its peers still know that.
+        token = open_flow(make_core(incarnation=5))
+        restarted = make_core(incarnation=3)
+        peer = make_core('harbor-2', incarnation=9)
+        old = make_core(incarnation=5)
+        for now_s in range(11, 14):
+            _exchange(old, peer, now_s)
+            _exchange(peer, restarted, now_s)
+        actions = restarted.handle(from_caller(request(token)), 14)
+        self.assertEqual([], targets(actions))
+        fresh = open_flow(restarted, token, 14, first_request_id=2)
+        actions = restarted.handle(from_caller(request(fresh, 2)), 14)
+        self.assertEqual(1, len(targets(actions)))
+
+
+class SilenceTests(testtools.TestCase):
+    """Guards against a flow that hangs without its caller being told."""
+
+    def test_the_caller_of_a_silent_flow_gets_a_code(self):
+        core = make_core(hosts=HOSTS[:1])
+        token = open_flow(core)
+        told = []
+        for step in range(40):
+            now_s = WARM_S + step * 0.5
+            actions = core.handle(from_caller(wire.Data(b'x', token)), now_s)
+            (target,) = targets(actions)
+            told += replies(actions)
+            answered = CALLER if step < 2 else OTHER
+            down = wire.Downstream('dockwatch', answered, b'y')
+            if step >= 2:
+                other = from_caller(wire.Open(), caller=OTHER)
+                core.handle(other, now_s)
+            core.handle(BackendDatagram(target, wire.encode(down)), now_s)
+        codes = [reply.code for reply in told]
+        self.assertEqual([ResultCode.FLOW_SILENT], codes)
+
+
+def _exchange(sender, receiver, now_s):
+    for action in sender.tick(now_s):
+        if hasattr(action, 'host_id') and hasattr(action, 'payload'):
+            receiver.handle(PeerDatagram(action.payload), now_s)
