--- a/src/currantshore/internal/sharing.py
+++ b/src/currantshore/internal/sharing.py
@@ -99,27 +99,26 @@
         self._exceptions.add(fingerprint, slot, is_fresh=True)
 
     def hand_over(
-        self, change: PeerChange | None, now_s: float
+        self,
+        change: PeerChange | None,
+        now_s: float,
     ) -> list[Action]:
         """Send exceptions to their owners, first owners first.
 
-        After a ``change`` of the live balancers, only hosts that were no
-        owners before get them, but also those that peers have handed to this
-        balancer.
+        After a ``change`` of the live balancers, hosts that were no owners
+        before get the exceptions that the others have already.
         """
-        flows = self._unshared()
+        handovers: list[Handover] = []
         if change is not None:
-            flows = self._exceptions.items() | flows
-        for fingerprint, slot in flows.items():
+            shared = self._exceptions.items()
+            for rank in (0, _SECOND):
+                handovers.extend(
+                    self._addressing.to_owners(shared, rank, change),
+                )
+        unshared = self._unshared()
+        for fingerprint, slot in unshared.items():
             self._exceptions.add(fingerprint, slot, is_fresh=True)
-        addressing = self._addressing
-        owners = self._context.peers.owners
-        handovers = addressing.to_owners(flows, 0, change)
-        owned = addressing.select(flows, owners.is_first_owner)
-        handovers.extend(addressing.to_owners(owned, _SECOND, change))
-        for fingerprint in owned:
-            flows.pop(fingerprint)
-        self._waiting.extend(addressing.to_owners(flows, _SECOND, change))
+        handovers.extend(self._first_wave(unshared))
         self._continue_at_s = now_s + _SECOND_OWNER_DELAY_S
         return self._send(handovers, now_s)
 
@@ -220,6 +219,18 @@
         if is_settled:
             self._change.note_settled(event.sender, event.settled_version)
 
+    def _first_wave(self, flows: dict[int, int]) -> list[Handover]:
+        """Return what goes out at once; the rest waits for a moment."""
+        addressing = self._addressing
+        owners = self._context.peers.owners
+        handovers = addressing.to_owners(flows, 0, None)
+        owned = addressing.select(flows, owners.is_first_owner)
+        handovers.extend(addressing.to_owners(owned, _SECOND, None))
+        for fingerprint in owned:
+            flows.pop(fingerprint)
+        self._waiting.extend(addressing.to_owners(flows, _SECOND, None))
+        return handovers
+
     def _unshared(self) -> dict[int, int]:
         """Return the known misplaced flows that are no exceptions yet."""
         flows = misplaced(self._known, self._change.table)
--- /dev/null
+++ b/tests/stateful/test_flows.py
@@ -0,0 +1,163 @@
+"""Flow planes of a pool under faults, against an oracle of each flow."""
+
+import testtools
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from currantshore.internal.snapshot import BackendState
+from tests.stateful import links
+
+settings.register_profile('ci', derandomize=True, deadline=None)
+settings.load_profile('ci')
+
+_HOSTS = ('h0', 'h1', 'h2', 'h3', 'h4')
+_BACKENDS = 4
+_DRAIN_LIMIT_S = 3.0
+
+_lags = st.lists(
+    st.sampled_from((0.0, 0.1, 0.6, 1.5, 2.4)),
+    min_size=len(_HOSTS),
+    max_size=len(_HOSTS),
+)
+
+
+class FlowMachine(RuleBasedStateMachine):
+    """Changes balancers and backend servers while flows go on.
+
+    A flow is exempt from the oracle when all balancers that have seen it were
+    killed, or were taken for dead while they were frozen: its record is lost
+    by design. The network counts such flows.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.network = None
+        self.version = 0
+        self.number = 0
+        self.states = dict.fromkeys(range(_BACKENDS), BackendState.ACTIVE)
+        self.drained = {}
+
+    @initialize(seed=st.integers(0, 2**16), loss=st.sampled_from((0.0, 0.02)))
+    def start(self, seed, loss):
+        quality = links.LinkQuality(loss_ratio=loss, duplicate_ratio=loss)
+        self.network = links.Network(seed, quality)
+        self.network.accept(self._pool(), ())
+        for host in _HOSTS:
+            self.network.start(host)
+        self.network.run(3.0)
+
+    @rule(count=st.integers(1, 8), is_framed=st.booleans())
+    def open_flows(self, count, is_framed):
+        for _ in range(count):
+            self.number += 1
+            self.network.open_flow('a', self.number, is_framed)
+        self.network.run(0.02)
+
+    @rule(rounds=st.integers(1, 3))
+    def send_on_all_flows(self, rounds):
+        for _ in range(rounds):
+            for flow in tuple(self.network.flows.values()):
+                self.network.send(flow)
+            self.network.run(0.05)
+
+    @rule(duration_s=st.sampled_from((0.05, 0.3, 1.0, 2.2, 6.0)))
+    def wait(self, duration_s):
+        self.network.run(duration_s)
+
+    @rule(number=st.integers(0, _BACKENDS - 1), lags_s=_lags)
+    def drain_or_return(self, number, lags_s):
+        is_active = self.states[number] is BackendState.ACTIVE
+        others = [
+            state
+            for other, state in self.states.items()
+            if other != number and state is BackendState.ACTIVE
+        ]
+        if is_active and len(others) < 2:
+            return
+        self.states[number] = (
+            BackendState.DRAINING if is_active else BackendState.ACTIVE
+        )
+        self.version += 1
+        self.network.accept(self._pool(), lags_s)
+        endpoint = links.backend('a', number).endpoint
+        self.drained.pop(endpoint, None)
+        if is_active:
+            self.drained[endpoint] = self.version
+
+    @precondition(lambda self: len(self._running()) == len(_HOSTS))
+    @rule(host=st.sampled_from(_HOSTS))
+    def kill(self, host):
+        self.network.kill(host)
+
+    @precondition(lambda self: len(self._running()) == len(_HOSTS))
+    @rule(host=st.sampled_from(_HOSTS))
+    def leave(self, host):
+        self.network.leave(host)
+
+    @precondition(lambda self: len(self._running()) < len(_HOSTS))
+    @rule(lag_s=st.sampled_from((0.0, 0.5)))
+    def start_again(self, lag_s):
+        for host in _HOSTS:
+            if host not in self.network.nodes:
+                self.network.start(host, lag_s)
+                return
+
+    @precondition(lambda self: len(self._running()) == len(_HOSTS))
+    @rule(
+        host=st.sampled_from(_HOSTS),
+        duration_s=st.sampled_from((0.4, 1.5, 3.0)),
+    )
+    def freeze(self, host, duration_s):
+        self.network.freeze(host, duration_s)
+
+    @invariant()
+    def no_flow_changes_its_backend_server(self):
+        if self.network is not None:
+            assert not self.network.broken, self.network.broken
+
+    @invariant()
+    def no_packet_reaches_another_service(self):
+        if self.network is not None:
+            assert not self.network.strayed, self.network.strayed
+
+    @invariant()
+    def a_drained_backend_server_gets_no_new_flow(self):
+        for endpoint, version in self.drained.items():
+            newest_s = self.network.new_flow_at.get(endpoint, 0.0)
+            known_s = self.network.learned_s.get(version, newest_s)
+            assert newest_s <= known_s + _DRAIN_LIMIT_S, (endpoint, newest_s)
+
+    def _running(self):
+        return [node for node in self.network.live() if not node.is_leaving]
+
+    def _pool(self):
+        backends = [
+            links.backend('a', number, state)
+            for number, state in self.states.items()
+        ]
+        services = (
+            links.service('a', backends, self.version),
+            links.service('b', [links.backend('b', 0)]),
+        )
+        return links.pool(_HOSTS, services, self.version)
+
+
+class FlowMachineTests(testtools.TestCase):
+    """Guards against flows that move although their backend server lives."""
+
+    def test_flows_survive_changes_and_faults(self):
+        machine = FlowMachine.TestCase()
+        machine.settings = settings(
+            max_examples=60,
+            stateful_step_count=24,
+            derandomize=True,
+            deadline=None,
+        )
+        machine.runTest()
