Let a started balancer wait for its peers before it places flows

The state machine found that a balancer placed flows by its own table in the moment between its start and its first heartbeat.

Asking was ruled out: it knows no peer yet.

Drops such packets as not ready, for at most the prepare timeout.

--- a/src/currantshore/internal/asking.py
+++ b/src/currantshore/internal/asking.py
@@ -106,7 +106,7 @@
         """Tell whether every balancer places the flow like this one."""
         peers = self._context.peers
         if not peers.others:
-            return True
+            return self._placer.change.is_warm
         if peers.is_behind or peers.is_frozen(now_s):
             return False
         return self._placer.change.is_trusted(flow_key)
@@ -179,8 +179,14 @@
         payload: bytes,
         now_s: float,
     ) -> list[Action]:
+        """Place a flow that there is nobody to ask about."""
+        counters = self._context.counters
+        if not self._placer.change.is_warm:
+            # Peers that this balancer has not heard of yet may know the flow.
+            counters.drop(DropReason.NOT_READY)
+            return []
         if not self._is_able_to_decide(now_s):
-            self._context.counters.count(Count.FLOWS_DECIDED_ALONE)
+            counters.count(Count.FLOWS_DECIDED_ALONE)
         slot = self._placer.place(flow_key)
         return self._placer.forward(slot, caller, payload)
 
--- a/src/currantshore/internal/sharing.py
+++ b/src/currantshore/internal/sharing.py
@@ -274,7 +274,7 @@
 
     def _take_fresh(self) -> dict[int, int]:
         """Take the new exceptions that this balancer owns or has decided."""
-        owners = self._context.peers.owners
+        owners = self._context.peers.deciders
         fresh = self._exceptions.fresh
         taken = self._addressing.select(fresh, owners.is_first_owner)
         taken.update(
--- a/tests/stateful/test_flows.py
+++ b/tests/stateful/test_flows.py
@@ -28,6 +28,20 @@
 )
 
 
+def _running(machine):
+    if machine.network is None:
+        return []
+    return [node for node in machine.network.live() if not node.is_leaving]
+
+
+def _is_complete(machine):
+    return len(_running(machine)) == len(_HOSTS)
+
+
+def _is_incomplete(machine):
+    return len(_running(machine)) < len(_HOSTS)
+
+
 class FlowMachine(RuleBasedStateMachine):
     """Changes balancers and backend servers while flows go on.
 
@@ -91,17 +105,17 @@
         if is_active:
             self.drained[endpoint] = self.version
 
-    @precondition(lambda self: len(self._running()) == len(_HOSTS))
+    @precondition(_is_complete)
     @rule(host=st.sampled_from(_HOSTS))
     def kill(self, host):
         self.network.kill(host)
 
-    @precondition(lambda self: len(self._running()) == len(_HOSTS))
+    @precondition(_is_complete)
     @rule(host=st.sampled_from(_HOSTS))
     def leave(self, host):
         self.network.leave(host)
 
-    @precondition(lambda self: len(self._running()) < len(_HOSTS))
+    @precondition(_is_incomplete)
     @rule(lag_s=st.sampled_from((0.0, 0.5)))
     def start_again(self, lag_s):
         for host in _HOSTS:
@@ -109,7 +123,7 @@
                 self.network.start(host, lag_s)
                 return
 
-    @precondition(lambda self: len(self._running()) == len(_HOSTS))
+    @precondition(_is_complete)
     @rule(
         host=st.sampled_from(_HOSTS),
         duration_s=st.sampled_from((0.4, 1.5, 3.0)),
@@ -134,9 +148,6 @@
             known_s = self.network.learned_s.get(version, newest_s)
             assert newest_s <= known_s + _DRAIN_LIMIT_S, (endpoint, newest_s)
 
-    def _running(self):
-        return [node for node in self.network.live() if not node.is_leaving]
-
     def _pool(self):
         backends = [
             links.backend('a', number, state)
