Ask hosts that a new process has not heard of

Cause: when 8 of 64 hosts returned together with 1% loss, live sets agreed only after 17 s: a new process that missed an answer waited for gossip to bring the incarnation.

Ruled out: more full records in each heartbeat, because of their bytes.

--- a/src/currantshore/internal/membership.py
+++ b/src/currantshore/internal/membership.py
@@ -32,6 +32,10 @@
 _QUERY_AFTER_S: Final = 1.25
 _QUERY_INTERVAL_S: Final = 0.25
 _MAX_QUERIES_PER_TICK: Final = 2
+# A new process asks declared hosts that have not answered its announcement;
+# gossip alone takes half a minute to bring the incarnation of one of 64 hosts.
+_SEARCH_INTERVAL_S: Final = 0.5
+_MAX_SEARCHES: Final = 4
 # Counters that a peer may lag behind in the normal course of gossip.
 _NORMAL_LAG: Final = 2
 # Counters that gossip may be ahead of a heartbeat that comes directly.
@@ -169,6 +173,8 @@
         if is_first:
             # Peers learn of a new process, and answer, without gossip.
             self._notices = sorted(self._members)
+            for member in self._members.values():
+                member.queried_s = now_s
         self._urgent = True
         self._view = None
         return []
@@ -516,12 +522,13 @@
         late = [
             member
             for member in self._members.values()
-            if member.is_live and _is_question_due(member, now_s)
+            if _is_question_due(member, now_s)
         ]
         late.sort(key=_last_rise_s)
         asked = late[:_MAX_QUERIES_PER_TICK]
         for member in asked:
             member.queried_s = now_s
+            member.search_count += not member.is_live
         return [self._send(target, now_s) for target in asked]
 
     def _send_notices(self, now_s: float) -> list[Action]:
@@ -602,6 +609,9 @@
 
 
 def _is_question_due(member: Member, now_s: float) -> bool:
-    if not _is_late(member, now_s):
+    if member.is_live:
+        is_due = now_s - member.queried_s > _QUERY_INTERVAL_S
+        return is_due and _is_late(member, now_s)
+    if member.incarnation >= 0 or member.search_count >= _MAX_SEARCHES:
         return False
-    return now_s - member.queried_s > _QUERY_INTERVAL_S
+    return now_s - member.queried_s > _SEARCH_INTERVAL_S
--- a/src/currantshore/internal/roster.py
+++ b/src/currantshore/internal/roster.py
@@ -30,6 +30,7 @@
         'prepared_digest',
         'queried_s',
         'replied_s',
+        'search_count',
         'state',
         'status_counter',
         'successor',
@@ -48,6 +49,7 @@
         self.appeared_s = float('-inf')
         self.queried_s = float('-inf')
         self.replied_s = float('-inf')
+        self.search_count = 0
         self.reset_status()
 
     @property
