--- a/standins/demo.py
+++ b/standins/demo.py
@@ -17,6 +17,7 @@
 
 from standins import users
 from standins.cluster import Cluster, ClusterError, start_platform
+from standins.processes import stop_all
 from standins.userrun import Scale, UserRun
 
 _PROMISES: Final = (
@@ -46,7 +47,6 @@
         self._seed: int = given.seed
         self._scale = _SHORT if given.short else _FULL
         self._shows_progress = not given.json
-        self._platform: Any = None
         self._clusters: list[Cluster] = []
         self._runs: list[UserRun] = []
 
@@ -76,13 +76,13 @@
         for run in self._runs:
             run.close()
         await asyncio.gather(*(cluster.stop() for cluster in self._clusters))
-        if self._platform is not None:
-            await self._platform.stop()
+        # The platform stand-in, and what an interrupted start left behind.
+        await stop_all()
 
     async def _start(self) -> None:
         self._show('starting the platform stand-in')
-        self._platform = await start_platform()
-        url = self._platform.ready['url']
+        platform = await start_platform()
+        url = platform.ready['url']
         first = 1
         for pool in (users.lakeshore(), users.beaulac()):
             self._clusters.append(Cluster(pool, url, first))
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -8,7 +8,7 @@
 import socket
 import sys
 import tempfile
-from typing import IO, Any, Final
+from typing import IO, Any, Final, TypeAlias
 
 import msgspec
 
@@ -40,18 +40,12 @@
     @classmethod
     async def start(cls, name: str, *arguments: str) -> 'ChildProcess':
         """Run ``python ARGUMENTS``; its standard error goes to a file."""
-        log = tempfile.TemporaryFile()
-        paths = f'{_ROOT / "src"}{os.pathsep}{_ROOT}'
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            *arguments,
-            stdout=asyncio.subprocess.PIPE,
-            stderr=log,
-            env=os.environ | {'PYTHONPATH': paths},
-            # A Ctrl-C reaches only the parent, which then stops its children.
-            start_new_session=True,
-        )
-        return cls(name, process, log)
+        # Shielded, so that a cancelled start still notes the process that it
+        # may have created, which ``stop_all`` then ends.
+        starting = asyncio.ensure_future(_spawn(name, arguments))
+        _starting.add(starting)
+        starting.add_done_callback(_starting.discard)
+        return await asyncio.shield(starting)
 
     @property
     def pid(self) -> int:
@@ -73,6 +67,11 @@
             raise RuntimeError(f'{self.name} ended early:\n{self.log_tail()}')
         return msgspec.json.decode(line)
 
+    async def read_bytes(self) -> bytes:
+        """Read the rest of its standard output."""
+        stdout = self._process.stdout
+        return b'' if stdout is None else await stdout.read()
+
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to this process, if it still runs."""
         with contextlib.suppress(ProcessLookupError):
@@ -106,6 +105,36 @@
         return '\n'.join(self.log_text().splitlines()[-_SHOWN_LOG_LINES:])
 
 
+async def stop_all() -> None:
+    """End every process that was started and still runs."""
+    await asyncio.gather(*_starting, return_exceptions=True)
+    running = [child for child in _started if child.is_running]
+    _started.clear()
+    await asyncio.gather(*(child.stop() for child in running))
+
+
+async def _spawn(name: str, arguments: tuple[str, ...]) -> ChildProcess:
+    log = tempfile.TemporaryFile()
+    paths = f'{_ROOT / "src"}{os.pathsep}{_ROOT}'
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        *arguments,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=log,
+        env=os.environ | {'PYTHONPATH': paths},
+        # A Ctrl-C reaches only the parent, which then stops its children.
+        start_new_session=True,
+    )
+    child = ChildProcess(name, process, log)
+    _started.append(child)
+    return child
+
+
+_Starting: TypeAlias = asyncio.Future[ChildProcess]
+_started: Final[list[ChildProcess]] = []
+_starting: Final[set[_Starting]] = set()
+
+
 class Reservation:
     """Free ports of one loopback address, held until they are needed.
 
