--- a/src/currantshore/internal/flowplane.py
+++ b/src/currantshore/internal/flowplane.py
@@ -3,6 +3,7 @@
 import random
 
 from currantshore.codes import DropReason, ResultCode, RetryReason
+from currantshore.internal.addressing import PlaneContext
 from currantshore.internal.counters import Count, Counters
 from currantshore.internal.events import (
     Action,
@@ -16,7 +17,6 @@
 from currantshore.internal.flowpeers import Peers
 from currantshore.internal.peerwire import Lookup, LookupReply
 from currantshore.internal.placement import NO_SLOT
-from currantshore.internal.sharing import PlaneContext
 from currantshore.internal.snapshot import PoolSnapshot
 from currantshore.internal.tokens import FlowToken, TokenSealer
 from currantshore.internal.tracking import ServiceFlows
@@ -298,6 +298,10 @@
             for flows in self._services.values()
         )
 
+    def use_incarnation(self, incarnation: int) -> None:
+        """Name ``incarnation`` as the executor in new tokens."""
+        self._incarnation = incarnation
+
     def is_warm(self) -> bool:
         """Tell whether this balancer can place flows as an owner."""
         return all(
