--- a/src/currantshore/cli.py
+++ b/src/currantshore/cli.py
@@ -32,7 +32,7 @@
     find_address_map,
 )
 from currantshore.internal.platform import PlatformClient
-from currantshore.internal.reports import (
+from currantshore.internal.textreports import (
     ExitCode,
     Failure,
     NotInForceError,
--- a/src/currantshore/internal/capacity.py
+++ b/src/currantshore/internal/capacity.py
@@ -10,6 +10,9 @@
 from currantshore.internal.snapshot import BackendServer
 from currantshore.internal.views import BackendHealth
 
+# Limits move by less than a slot in this time.
+_COUNT_INTERVAL_S: Final = 0.05
+
 _NONE_TRIED: Final[frozenset[str]] = frozenset()
 
 
@@ -17,6 +20,7 @@
 class AdmissionMode(enum.Enum):
     """How much a balancer limits itself; all but the first are baselines."""
 
+    FAIR_SHARES = enum.auto()
     WEIGHTED_SHARES = enum.auto()
     EQUAL_SHARES = enum.auto()
     LIMITS_ONLY = enum.auto()
@@ -28,12 +32,14 @@
 
     __slots__ = (
         '_backends',
+        '_counted_s',
         '_demands',
         '_health',
         '_limits',
         '_mode',
         '_outstanding',
         '_shares',
+        '_slot_count',
     )
 
     def __init__(
@@ -50,13 +56,19 @@
         self._limits: dict[str, AdaptiveLimit] = {}
         self._outstanding: Counter[str] = Counter()
         self._shares = SlotShares(host_id)
+        self._slot_count = 0
+        self._counted_s = float('-inf')
 
     @property
     def outstanding(self) -> int:
         """Runs that are out, on any backend server of the service."""
         return self._outstanding.total()
 
-    def configure(self, backends: tuple[BackendServer, ...]) -> None:
+    def configure(
+        self,
+        backends: tuple[BackendServer, ...],
+        now_s: float,
+    ) -> None:
         """Send new runs only to ``backends``."""
         self._backends = backends
         held = self._limits
@@ -67,13 +79,13 @@
                 limit = AdaptiveLimit(backend.slot_count)
             limit.cap(backend.slot_count)
             self._limits[backend.backend_id] = limit
-        self._share()
+        self._share(now_s)
 
-    def on_demands(self, demands: Mapping[str, int]) -> None:
+    def on_demands(self, demands: Mapping[str, int], now_s: float) -> None:
         """Use the demand of each live balancer, this one included."""
         if demands != self._demands:
             self._demands = demands
-            self._share()
+            self._share(now_s)
 
     def is_usable(self, backend_id: str) -> bool:
         """Tell whether the health verdict is good."""
@@ -83,12 +95,22 @@
         """Tell whether a backend server outside ``tried`` takes runs."""
         return any(True for _ in self._usable(tried))
 
-    def slot_count(self) -> int:
+    def slot_count(self, now_s: float) -> int:
         """Return the runs that this balancer may have out, at least 1."""
-        allowed = sum(
-            self._allowance(backend) for backend in self._usable(_NONE_TRIED)
-        )
-        return max(1, allowed)
+        if now_s - self._counted_s >= _COUNT_INTERVAL_S:
+            self._counted_s = now_s
+            self._slot_count = sum(
+                self._allowance(backend, now_s)
+                for backend in self._usable(_NONE_TRIED)
+            )
+        return max(1, self._slot_count)
+
+    def has_room(self, now_s: float) -> bool:
+        """Tell whether some backend server has a free slot."""
+        for backend in self._ready(_NONE_TRIED, now_s):
+            if not self.outstanding or self._free(backend, now_s) > 0:
+                return True
+        return False
 
     def pick(
         self,
@@ -97,17 +119,22 @@
         now_s: float,
     ) -> BackendServer | None:
         """Choose a server with a free slot, ``preferred`` if possible."""
-        ready = [
-            backend
-            for backend in self._usable(tried)
-            if not self._limits[backend.backend_id].is_paused(now_s)
-        ]
-        free = [backend for backend in ready if self._free(backend) > 0]
+        ready = list(self._ready(tried, now_s))
+        free = {
+            backend.backend_id: self._free(backend, now_s) for backend in ready
+        }
         # A balancer without a share still has one request outstanding, so
         # that a service never stops at a host that lost every slot draw.
-        if not free and not self.outstanding:
-            free = ready
-        return self._best(free, preferred)
+        if self.outstanding or max(free.values(), default=0) > 0:
+            ready = [each for each in ready if free[each.backend_id] > 0]
+        for backend in ready:
+            if backend.backend_id == preferred:
+                return backend
+        return max(
+            ready,
+            key=lambda each: free[each.backend_id],
+            default=None,
+        )
 
     def take(self, backend_id: str) -> None:
         """Count a run as out."""
@@ -143,15 +170,21 @@
 
     def _adapts(self) -> bool:
         return self._mode in {
+            AdmissionMode.FAIR_SHARES,
             AdmissionMode.WEIGHTED_SHARES,
             AdmissionMode.LIMITS_ONLY,
         }
 
-    def _share(self) -> None:
-        if self._mode is AdmissionMode.EQUAL_SHARES:
-            self._shares.update_equally(self._backends, tuple(self._demands))
-        else:
-            self._shares.update(self._backends, self._demands)
+    def _share(self, now_s: float) -> None:
+        self._counted_s = float('-inf')
+        shares = self._shares
+        match self._mode:
+            case AdmissionMode.EQUAL_SHARES:
+                shares.update_equally(self._backends, self._demands, now_s)
+            case AdmissionMode.WEIGHTED_SHARES:
+                shares.update_weighted(self._backends, self._demands, now_s)
+            case _:
+                shares.update(self._backends, self._demands, now_s)
 
     def _usable(self, tried: frozenset[str]) -> Iterator[BackendServer]:
         return (
@@ -161,25 +194,26 @@
             and self._health.is_usable(backend.backend_id)
         )
 
-    def _allowance(self, backend: BackendServer) -> int:
+    def _ready(
+        self,
+        tried: frozenset[str],
+        now_s: float,
+    ) -> Iterator[BackendServer]:
+        return (
+            backend
+            for backend in self._usable(tried)
+            if not self._limits[backend.backend_id].is_paused(now_s)
+        )
+
+    def _allowance(self, backend: BackendServer, now_s: float) -> int:
         ratio = self._health.weight_ratio(backend.backend_id)
         allowed = self._limits[backend.backend_id].allowed(ratio)
         if self._mode is AdmissionMode.LIMITS_ONLY:
             return allowed
-        return min(allowed, self._shares.share(backend.backend_id))
+        return min(allowed, self._shares.share(backend.backend_id, now_s))
 
-    def _free(self, backend: BackendServer) -> int:
+    def _free(self, backend: BackendServer, now_s: float) -> int:
         if self._mode is AdmissionMode.UNLIMITED:
             return 1
         taken = self._outstanding[backend.backend_id]
-        return self._allowance(backend) - taken
-
-    def _best(
-        self,
-        free: list[BackendServer],
-        preferred: str,
-    ) -> BackendServer | None:
-        for backend in free:
-            if backend.backend_id == preferred:
-                return backend
-        return max(free, key=self._free, default=None)
+        return self._allowance(backend, now_s) - taken
--- a/tests/cover/test_cli.py
+++ b/tests/cover/test_cli.py
@@ -21,7 +21,7 @@
     SettingsError,
 )
 from currantshore.internal.records import status_key
-from currantshore.internal.reports import ExitCode, Failure
+from currantshore.internal.textreports import ExitCode, Failure
 from standins.platform import Faults, PlatformStandin, PutBody
 
 _EXAMPLES = Path(__file__).parents[2] / 'examples'
