Wait for the end of a service; give each example service its own port

Cause: in a trial with three balancer processes, status called a pool in force while the record of a service that was taken away had not been compared, and two example services could not both listen at one host address. Ruled out: leaving the end of a service unwatched (a host that misses it goes on serving). Change: status compares all records of the pool; placeholder addresses of services count their ports up from 7001.

--- a/src/currantshore/internal/inforce.py
+++ b/src/currantshore/internal/inforce.py
@@ -42,13 +42,15 @@
     """A pool's objects at one revision of the store.
 
     ``pool`` is None before the pool's first plan was applied; retired
-    services are left out of it.
+    services are left out of it. ``versions`` holds all records, because a
+    service's end must reach every host too.
     """
 
     pool_id: str
     revision: int
     objects: Mapping[str, PlatformObject]
     pool: PoolSnapshot | None
+    versions: Mapping[str, int]
 
     def version(self, key: str) -> int:
         """Return the version of an object, 0 when there is none."""
@@ -76,7 +78,8 @@
     if faults:
         raise PlatformError('; '.join(faults))
     pool = None if merged is None else _without_retired(merged)
-    return InForce(pool_id, listing.revision, objects, pool)
+    versions = {} if merged is None else merged.versions()
+    return InForce(pool_id, listing.revision, objects, pool, versions)
 
 
 def claim_key(address: Endpoint) -> str:
--- a/src/currantshore/internal/status.py
+++ b/src/currantshore/internal/status.py
@@ -164,13 +164,13 @@
             'pool id, or put its declarations in force with plan and apply'
         )
     target = version or in_force.revision
-    versions = pool.versions()
+    versions = in_force.versions
     # An object that was changed again counts once any later version is there.
     needed = {key: min(held, target) for key, held in versions.items()}
     return StatusView(
         in_force.pool_id,
         version or max(versions.values()),
-        versions,
+        dict(versions),
         tuple(
             _view_host(host, status.get(host.host_id), needed)
             for host in pool.members.hosts
--- a/src/currantshore/questionnaire.py
+++ b/src/currantshore/questionnaire.py
@@ -33,8 +33,9 @@
     '("currantshore plan --address-map FILE").'
 )
 
-# Ports of the placeholder addresses.
-_SERVICE_PORT: Final = 7000
+# Ports of the placeholder addresses. Each service has a port of its own, so
+# that a host can receive all of them at one IP number (--service-host).
+_FIRST_SERVICE_PORT: Final = 7001
 _PEER_PORT: Final = 7100
 _RPC_PORT: Final = 7200
 _FIRST_BACKEND_PORT: Final = 7300
@@ -152,7 +153,7 @@
     text.comment(f'What matters most: {answers.concern.value}.')
     text.blank()
     text.value('service_id', service.service_id)
-    text.value('address', f'{host}:{_SERVICE_PORT}')
+    text.value('address', f'{host}:{_FIRST_SERVICE_PORT + index}')
     _add_figures(text, answers, service)
     for number, zone in _spread(answers, service.backend_count, index):
         text.row('backend_servers')
--- a/tests/cover/test_cli.py
+++ b/tests/cover/test_cli.py
@@ -204,7 +204,7 @@
 
     def test_an_address_map_replaces_the_placeholders(self):
         table = self.place / 'addresses.toml'
-        table.write_text('"127.0.1.101:7000" = "127.0.0.1:50001"')
+        table.write_text('"127.0.1.101:7001" = "127.0.0.1:50001"')
         file = str(self.place / 'plan.json')
         self.environ['CURRANTSHORE_ADDRESS_MAP'] = str(table)
         planned = self.json('plan', _LAKESHORE, '--out', file)
@@ -246,6 +246,21 @@
         self.assertIn('in force on 5 of 5 hosts', out)
         self.assertIn('in force on 0 of 5 hosts; waiting for', errors)
 
+    def test_the_end_of_a_service_is_waited_for(self):
+        self.put_in_force()
+        for number in (1, 2, 3, 4):
+            self.json('drain', f'incident-upload-{number}', '--allow-empty')
+        self.write_status(9, flows={})
+        declared = self.copy_example()
+        (Path(declared) / 'services/incident-upload.toml').unlink()
+        file = str(self.place / 'plan.json')
+        self.json('plan', declared, '--out', file)
+        version = self.json('apply', file)['version']
+        answer = self.json('status', '--wait', '0', '--timeout-s', '0.1')
+        self.assertEqual(ExitCode.NOT_IN_FORCE, answer['exit_code'])
+        self.write_status(version)
+        self.assertTrue(self.json('status', '--wait', '0')['is_in_force'])
+
     def test_flows_of_a_draining_backend_server_are_shown(self):
         self.put_in_force()
         self.json('drain', 'dockwatch-2')
--- a/tests/cover/test_planning.py
+++ b/tests/cover/test_planning.py
@@ -147,13 +147,13 @@
     ),
     (
         lambda given: _with_service(
-            given, 'dockwatch', address='127.0.1.102:7000'
+            given, 'dockwatch', address='127.0.1.102:7002'
         ),
-        'address 127.0.1.102:7000 is shared',
+        'address 127.0.1.102:7002 is shared',
     ),
     (
         lambda given: _with_service(
-            given, 'dockwatch', address='127.0.1.109:7000'
+            given, 'dockwatch', address='127.0.1.109:7001'
         ),
         'its address cannot change',
     ),
@@ -357,7 +357,7 @@
         return _with_service(other, 'labo-glacure', address=address)
 
     def test_an_address_of_another_pool_is_refused_until_it_is_free(self):
-        other = self.other_pool('127.0.1.102:7000')
+        other = self.other_pool('127.0.1.102:7002')
         declared = _without_service(self.declared, 'incident-upload')
 
         async def scenario(client):
@@ -377,7 +377,7 @@
         self.play(scenario)
 
     def test_of_two_pools_that_claim_an_address_one_gets_it(self):
-        other = self.other_pool('127.0.1.102:7000')
+        other = self.other_pool('127.0.1.102:7002')
 
         async def scenario(client):
             first = await make_plan(client, self.declared, 'anna')
