--- a/tests/cover/test_core.py
+++ b/tests/cover/test_core.py
@@ -155,7 +155,7 @@
     def test_each_bad_datagram_is_counted_by_its_reason(self):
         table = (
             (from_caller(b'x', 'nowhere'), DropReason.UNKNOWN_SERVICE),
-            (from_caller(wire.FRAME_MARK + b'x'), DropReason.MALFORMED),
+            (from_caller(b'\xc5\x5ex'), DropReason.MALFORMED),
             (from_caller(bytes(1601)), DropReason.OVERSIZED),
             (
                 from_caller(wire.Data(b'x', b'bad token')),
