Test a late handover copy and the deadline check before sending

Cause: mutation checks showed that neither check was tested. Ruled out: testing the deadline through tick alone, which gives up earlier. Change: two tests.

--- a/tests/cover/test_executor.py
+++ b/tests/cover/test_executor.py
@@ -151,6 +151,7 @@
     """Guards against promises that a paused or cut off process cannot keep."""
 
     def fill(self, plane, **fields):
+        # A copy of a request that runs already changes nothing.
         for request_id in range(1, kit.SLOTS + 1):
             kit.send(plane, request_id, deadline_ms=60000)
         return kit.send(plane, kit.SLOTS + 1, **fields)
@@ -162,6 +163,14 @@
         self.assertEqual([103], kit.codes(actions))
         self.assertEqual([], kit.runs(actions))
 
+    def test_also_when_an_answer_frees_a_slot_first(self):
+        plane = kit.make_plane()
+        sent = kit.send(plane, 1, deadline_ms=60000)
+        self.fill(plane)
+        actions = kit.answer(plane, sent, now_s=5)
+        self.assertEqual([103], kit.codes(actions))
+        self.assertEqual([], kit.runs(actions))
+
     def test_after_a_pause_a_repeatable_request_may_have_run_elsewhere(self):
         plane = kit.make_plane()
         self.fill(plane, is_repeatable=True)
@@ -363,6 +372,14 @@
         fates = [fate(kit.send(third, number)) for number in (1, 2, 3, 4)]
         self.assertEqual([201, 103, 103, 'run'], fates)
 
+    def test_a_late_copy_is_not_passed_on_after_its_ids_were(self):
+        # It lacks what the successor has run since the first copy.
+        second = kit.make_plane('b', ('b', 'c'))
+        self.hand_over(second)
+        second.leave(0)
+        copy = RequestsHandedOver('a', 1, kit.SERVICE, self.bodies[0].body)
+        self.assertEqual([], second.on_requests_handed_over(copy, 0))
+
     def test_others_follow_the_successors_of_a_rolling_restart(self):
         plane = kit.make_plane('d', ('d',))
         for live, successors in (
