--- a/tests/cover/test_cli.py
+++ b/tests/cover/test_cli.py
@@ -123,6 +123,14 @@
         self.thread.run(self._until_watched())
         self.write_status(version)
 
+    def end_outage_after_calls(self, count):
+        self.thread.run(self._until_called(self.standin.calls['list'] + count))
+        self.standin.set_faults(Faults(outage=False))
+
+    async def _until_called(self, count):
+        while self.standin.calls['list'] < count:
+            await asyncio.sleep(0)
+
     async def _until_watched(self):
         while not self.standin.waiting:
             await asyncio.sleep(0)
@@ -246,6 +254,16 @@
         self.assertIn('in force on 5 of 5 hosts', out)
         self.assertIn('in force on 0 of 5 hosts; waiting for', errors)
 
+    def test_waiting_goes_on_through_an_outage(self):
+        self.put_in_force()
+        self.write_status(5)
+        self.standin.set_faults(Faults(outage=True))
+        ending = threading.Thread(target=self.end_outage_after_calls, args=(8,))
+        ending.start()
+        self.addCleanup(ending.join)
+        answer = self.json('status', '--wait', '5')
+        self.assertTrue(answer['is_in_force'])
+
     def test_the_end_of_a_service_is_waited_for(self):
         self.put_in_force()
         for number in (1, 2, 3, 4):
