--- a/tests/contract/test_platform.py
+++ b/tests/contract/test_platform.py
@@ -25,6 +25,15 @@
 _KEY = 'pools/lakeshore/services/dockwatch'
 
 
+class _DeafClient(PlatformClient):
+    """Never hears the answer to a write."""
+
+    async def put_if(self, key, value, version, writer):
+        with contextlib.suppress(PlatformError):
+            await super().put_if(key, value, version, writer)
+        raise PlatformUnavailableError(key)
+
+
 class _Case(testtools.TestCase):
     """Runs a scenario with a client and a stand-in on a free port."""
 
@@ -132,6 +141,15 @@
         for lost in (1, 2, 3):
             self.play(scenario, faults=Faults(lose_writes=lost))
 
+    def test_a_write_is_settled_when_no_write_is_ever_answered(self):
+        async def scenario(_client, standin):
+            client = _DeafClient.from_config(standin.url, backoff_s=0.001)
+            async with client:
+                written = await client.put_settled(_KEY, b'1', 0, 'w1')
+            self.assertEqual(1, written.version)
+
+        self.play(scenario)
+
     def test_an_accepted_write_that_was_overwritten_is_recognized(self):
         async def scenario(client, standin):
             with contextlib.suppress(PlatformError):
--- a/tests/cover/test_cli.py
+++ b/tests/cover/test_cli.py
@@ -254,6 +254,13 @@
         self.assertIn('in force on 5 of 5 hosts', out)
         self.assertIn('in force on 0 of 5 hosts; waiting for', errors)
 
+    def test_waiting_for_a_version_does_not_wait_for_later_changes(self):
+        self.put_in_force()
+        self.write_status(5)
+        self.json('drain', 'dockwatch-1')
+        self.assertTrue(self.json('status', '--wait', '5')['is_in_force'])
+        self.assertFalse(self.json('status')['is_in_force'])
+
     def test_waiting_goes_on_through_an_outage(self):
         self.put_in_force()
         self.write_status(5)
--- a/tests/cover/test_planning.py
+++ b/tests/cover/test_planning.py
@@ -432,6 +432,23 @@
 
         self.play(scenario)
 
+    def test_a_plan_with_one_object_out_of_date_writes_nothing(self):
+        declared = _with_share(self.declared, 'dockwatch', 0.5)
+        declared = _with_share(declared, 'incident-upload', 0.4)
+
+        async def scenario(client):
+            planned = await make_plan(client, declared, 'anna')
+            other = _with_share(self.declared, 'incident-upload', 0.3)
+            await self.change(client, other, 'benoit')
+            revision = self.standin.table.revision
+            with testtools.ExpectedException(
+                VersionConflictError, '(?s).*changed by benoit.*'
+            ):
+                await apply_plan(client, planned)
+            self.assertEqual(revision, self.standin.table.revision)
+
+        self.play(scenario)
+
     def test_operators_of_different_services_do_not_conflict(self):
         async def scenario(client):
             first = await make_plan(
