Share equal version maps in the status object; split the plan's steps off

Ruled out: a digest instead of versions (operators could not see which object a host lacks). Change: encode_status writes each distinct map once and decode_status reads both forms; the steps of a plan move to internal/plansteps.py. Conclusion: the status object stays small at the target size once the reporter uses encode_status.

--- a/bench/operators.py
+++ b/bench/operators.py
@@ -13,7 +13,8 @@
 writes it if its version is still in place; after a conflict it starts again.
 ``lost_updates`` counts accepted changes that are missing at the end, and
 ``repeated_updates`` those that are there twice. Times are given as calls to
-the platform for each accepted change.
+the platform for each accepted change. ``target_size`` gives the bytes of a
+pool's records and of its status object at the target size.
 """
 
 import argparse
@@ -36,11 +37,13 @@
     BackendServer,
     PoolHost,
     PoolMembers,
+    PoolSnapshot,
     PriorityClass,
     ServiceSnapshot,
     pool_key,
     service_key,
 )
+from currantshore.internal.status import HostStatus, encode_status
 from currantshore.wire import Endpoint
 from standins.platform import Faults, PlatformStandin
 
@@ -48,6 +51,8 @@
 _LAYOUTS: Final = ('one_object', 'object_per_service', 'commands')
 _LOST_ANSWERS: Final = 10
 _LOST_WRITES: Final = 5
+_TARGET_HOSTS: Final = 64
+_TARGET_SERVICES: Final = 244
 _POOL_ID: Final = 'bench'
 _ALL_SERVICES_KEY: Final = 'pools/bench/all-services'
 _SETUP_WRITER: Final = 'setup/1'
@@ -304,6 +309,30 @@
     }
 
 
+def _target_sizes() -> dict[str, int]:
+    """Return the sizes of a pool's data at the target size."""
+    services = [
+        _new_service(f'service-{number}', number)
+        for number in range(_TARGET_SERVICES)
+    ]
+    endpoint = Endpoint('127.0.3.1', 7100)
+    hosts = [
+        PoolHost(f'host-{number}', 'zone', endpoint, endpoint)
+        for number in range(_TARGET_HOSTS)
+    ]
+    members = PoolMembers(_POOL_ID, 'bench', ('zone',), tuple(hosts))
+    pool = PoolSnapshot(members, tuple(services))
+    status = {host.host_id: HostStatus(pool.versions(), {}) for host in hosts}
+    return {
+        'hosts': len(hosts),
+        'services': len(services),
+        'records_bytes': len(encode_record(members))
+        + sum(len(encode_record(one)) for one in services),
+        'status_bytes': len(encode_status(status)),
+        'status_without_sharing_bytes': len(msgspec.json.encode(status)),
+    }
+
+
 def main() -> None:
     """Print the figures as one JSON line."""
     parser = argparse.ArgumentParser(description='concurrent operators')
@@ -318,6 +347,7 @@
         'lost_answers_per_run': _LOST_ANSWERS,
         'lost_writes_per_run': _LOST_WRITES,
         'results': results,
+        'target_size': _target_sizes(),
     }
     print(msgspec.json.encode(line).decode())
 
--- a/src/currantshore/internal/status.py
+++ b/src/currantshore/internal/status.py
@@ -32,13 +32,17 @@
     ``versions`` holds the version in force there by object key.
     ``draining_flows`` counts the open flows of the backend servers that are
     draining by backend id; None when the host does not count them.
+    ``same_as`` names a host of the same status object whose versions this host
+    holds as well; ``versions`` is empty then.
     """
 
     versions: dict[str, int]
     draining_flows: dict[str, int] | None = None
+    same_as: str = ''
 
 
 PoolStatus: TypeAlias = dict[str, HostStatus]
+_Versions: TypeAlias = frozenset[tuple[str, int]]
 
 
 class HostView(msgspec.Struct, frozen=True):
@@ -103,7 +107,7 @@
         PlatformError: when the object is not a status.
     """
     found = await client.get(status_key(pool_id))
-    return {} if found is None else _decode(found.key, found.value)
+    return {} if found is None else decode_status(bytes(found.value))
 
 
 async def read_view(
@@ -151,6 +155,22 @@
     return shown
 
 
+def encode_status(status: Mapping[str, HostStatus]) -> bytes:
+    """Return the JSON text of a status object.
+
+    Hosts with equal versions share one map: at 64 hosts and 244 services, a
+    map for each host would come close to the platform's limit of 1 MB.
+    """
+    first: dict[_Versions, str] = {}
+    written: PoolStatus = {}
+    for host_id, host in sorted(status.items()):
+        known = first.setdefault(frozenset(host.versions.items()), host_id)
+        if known != host_id:
+            host = msgspec.structs.replace(host, versions={}, same_as=known)
+        written[host_id] = host
+    return msgspec.json.encode(written)
+
+
 def build_view(
     in_force: InForce,
     status: Mapping[str, HostStatus],
@@ -247,8 +267,23 @@
     return _Reading(in_force, status, in_force.revision)
 
 
-def _decode(key: str, value: msgspec.Raw) -> PoolStatus:
+def decode_status(value: bytes) -> PoolStatus:
+    """Read a status object, with or without shared maps.
+
+    Raises:
+        PlatformError: when it is not a status.
+    """
     try:
-        return msgspec.json.decode(value, type=PoolStatus)
+        status = msgspec.json.decode(value, type=PoolStatus)
     except (msgspec.DecodeError, ValueError) as error:
-        raise PlatformError(f'{key}: {error}') from error
+        raise PlatformError(f'unreadable status object: {error}') from error
+    return {
+        host_id: _expand(host, status.get(host.same_as))
+        for host_id, host in status.items()
+    }
+
+
+def _expand(host: HostStatus, shared: HostStatus | None) -> HostStatus:
+    if shared is None:
+        return host
+    return msgspec.structs.replace(host, versions=shared.versions, same_as='')
--- a/src/currantshore/planning.py
+++ b/src/currantshore/planning.py
@@ -21,50 +21,21 @@
     VersionConflictError,
 )
 from currantshore.internal.differences import describe_change
-from currantshore.internal.inforce import (
-    AddressClaim,
-    InForce,
-    Record,
-    claim_key,
-    decode_record,
-    encode_record,
-    read_in_force,
-    records_by_key,
-    retire,
-)
+from currantshore.internal.inforce import InForce, read_in_force
 from currantshore.internal.objects import PlatformObject
 from currantshore.internal.overlay import describe_conflict, overlay
+from currantshore.internal.plansteps import Step, compact_step, plan_steps
 from currantshore.internal.platform import PlatformClient
 from currantshore.internal.promises import (
     Evidence,
     broken_promises,
     faults_between_objects,
 )
-from currantshore.internal.snapshot import (
-    PoolSnapshot,
-    ServiceSnapshot,
-    service_key,
-)
 from currantshore.internal.status import read_status
 from currantshore.internal.writers import check_operator, operator_of
 
 PLAN_FORMAT: Final = 1
 _PLAN_ID_SIZE_BYTES: Final = 8
-# msgspec does not decode an optional Raw, so a missing value is a JSON null.
-_NULL: Final = msgspec.Raw(b'null')
-
-
-class Step(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """One conditional write; ``base`` is the value that it replaces."""
-
-    key: str
-    planned_version: int
-    value: msgspec.Raw
-    base: msgspec.Raw = _NULL
-
-    def replaced(self) -> msgspec.Raw | None:
-        """Return the value that it replaces, None when it creates one."""
-        return None if bytes(self.base) == bytes(_NULL) else self.base
 
 
 class Plan(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -130,7 +101,7 @@
     drained = frozenset(assumed_drained)
     evidence = Evidence(await read_status(client, pool_id), drained)
     problems = broken_promises(in_force.pool, after, evidence)
-    steps, held = await _plan_steps(client, in_force, after)
+    steps, held = await plan_steps(client, in_force, after)
     problems.extend(held)
     if problems:
         raise PlanRefusedError(problems)
@@ -167,19 +138,10 @@
         raise InvalidArgumentError.from_value(
             'format', plan.format, f'{PLAN_FORMAT}; make the plan again'
         )
-    steps = tuple(_compact(step) for step in plan.steps)
+    steps = tuple(compact_step(step) for step in plan.steps)
     return msgspec.structs.replace(plan, steps=steps)
 
 
-def _compact(step: Step) -> Step:
-    # The indentation of the plan file is no part of the stored values.
-    return msgspec.structs.replace(
-        step,
-        value=msgspec.Raw(msgspec.json.format(step.value, indent=-1)),
-        base=msgspec.Raw(msgspec.json.format(step.base, indent=-1)),
-    )
-
-
 async def apply_plan(
     client: PlatformClient,
     plan: Plan,
@@ -215,100 +177,6 @@
     return tuple(sorted(results, key=lambda one: order.index(one.key)))
 
 
-async def _plan_steps(
-    client: PlatformClient,
-    in_force: InForce,
-    after: PoolSnapshot,
-) -> tuple[list[Step], list[str]]:
-    """Return the steps in the order of writing, and addresses held by others.
-
-    Claims come before the services that need them, and a service that is
-    taken away is written before its claim is given back.
-    """
-    gone = _missing_from(after, in_force.pool)
-    added = _missing_from(in_force.pool, after)
-    claims, held = await _claim_steps(client, in_force.pool_id, added)
-    records = dict(records_by_key(after))
-    for service in gone:
-        key = service_key(in_force.pool_id, service.service_id)
-        records[key] = retire(service)
-    steps = [
-        step
-        for key, record in records.items()
-        for step in _step(key, in_force.objects.get(key), record)
-    ]
-    released = await _release_steps(client, gone)
-    return [*claims, *steps, *released], held
-
-
-def _missing_from(
-    pool: PoolSnapshot | None,
-    other: PoolSnapshot | None,
-) -> list[ServiceSnapshot]:
-    """Return the services of ``other`` that ``pool`` does not have."""
-    known = set() if pool is None else {one.service_id for one in pool.services}
-    services = () if other is None else other.services
-    return [one for one in services if one.service_id not in known]
-
-
-def _step(
-    key: str,
-    found: PlatformObject | None,
-    record: Record,
-) -> list[Step]:
-    value = msgspec.Raw(encode_record(record))
-    if found is None:
-        return [Step(key, 0, value)]
-    # Compared as records: another release may order the fields differently.
-    if decode_record(key, found.value) == decode_record(key, value):
-        return []
-    return [Step(key, found.version, value, found.value)]
-
-
-async def _claim_steps(
-    client: PlatformClient,
-    pool_id: str,
-    added: Iterable[ServiceSnapshot],
-) -> tuple[list[Step], list[str]]:
-    steps: list[Step] = []
-    held: list[str] = []
-    waiting = list(added)
-    while waiting:
-        service = waiting.pop(0)
-        key = claim_key(service.address)
-        owner = service_key(pool_id, service.service_id)
-        found = await client.get(key)
-        claimed = _claimed_by(found)
-        if claimed not in ('', owner):
-            held.append(
-                f'address {service.address.host}:{service.address.port} of '
-                f'service {service.service_id} belongs to {claimed}; declare '
-                'another address'
-            )
-            continue
-        steps.extend(_step(key, found, AddressClaim(owner)))
-    return steps, held
-
-
-async def _release_steps(
-    client: PlatformClient,
-    gone: Iterable[ServiceSnapshot],
-) -> list[Step]:
-    steps: list[Step] = []
-    waiting = list(gone)
-    while waiting:
-        key = claim_key(waiting.pop(0).address)
-        found = await client.get(key)
-        steps.extend(_step(key, found, AddressClaim('')))
-    return steps
-
-
-def _claimed_by(found: PlatformObject | None) -> str:
-    if found is None:
-        return ''
-    return msgspec.json.decode(found.value, type=AddressClaim).service_key
-
-
 async def _compare(
     client: PlatformClient,
     plan: Plan,
--- a/tests/cover/test_cli.py
+++ b/tests/cover/test_cli.py
@@ -22,6 +22,11 @@
 )
 from currantshore.internal.records import status_key
 from currantshore.internal.textreports import ExitCode, Failure
+from currantshore.internal.status import (
+    HostStatus,
+    decode_status,
+    encode_status,
+)
 from standins.platform import Faults, PlatformStandin, PutBody
 
 _EXAMPLES = Path(__file__).parents[2] / 'examples'
@@ -294,6 +299,27 @@
         self.assertIn('draining dockwatch-2: 42 open flows', out)
 
 
+class StatusObjectTests(testtools.TestCase):
+    """Guards against a status object that outgrows the platform's limit."""
+
+    def test_hosts_with_equal_versions_share_one_map(self):
+        versions = {f'pools/p/services/service-{n}': n for n in range(1, 245)}
+        status = {f'host-{n}': HostStatus(versions, {}) for n in range(64)}
+        status['host-7'] = HostStatus(versions | {'pools/p/members': 9})
+        encoded = encode_status(status)
+        self.assertLess(len(encoded), 32_000)
+        self.assertEqual(status, decode_status(encoded))
+
+    def test_a_status_object_without_shared_maps_is_read(self):
+        value = b'{"a": {"versions": {"k": 1}}, "b": {"versions": {}}}'
+        expected = {'a': HostStatus({'k': 1}), 'b': HostStatus({})}
+        self.assertEqual(expected, decode_status(value))
+
+    def test_another_object_is_no_status(self):
+        with testtools.ExpectedException(PlatformError):
+            decode_status(b'{"a": 1}')
+
+
 class ExitCodeTests(_Case):
     """Guards against failures that scripts cannot tell apart."""
 
