--- a/tests/cover/test_cli.py
+++ b/tests/cover/test_cli.py
@@ -22,6 +22,11 @@
 )
 from currantshore.internal.records import status_key
 from currantshore.internal.textreports import ExitCode, Failure
+from currantshore.internal.status import (
+    HostStatus,
+    decode_status,
+    encode_status,
+)
 from standins.platform import Faults, PlatformStandin, PutBody
 
 _EXAMPLES = Path(__file__).parents[2] / 'examples'
@@ -123,6 +128,14 @@
         self.thread.run(self._until_watched())
         self.write_status(version)
 
+    def end_outage_after_calls(self, count):
+        self.thread.run(self._until_called(self.standin.calls['list'] + count))
+        self.standin.set_faults(Faults(outage=False))
+
+    async def _until_called(self, count):
+        while self.standin.calls['list'] < count:
+            await asyncio.sleep(0)
+
     async def _until_watched(self):
         while not self.standin.waiting:
             await asyncio.sleep(0)
@@ -246,6 +259,23 @@
         self.assertIn('in force on 5 of 5 hosts', out)
         self.assertIn('in force on 0 of 5 hosts; waiting for', errors)
 
+    def test_waiting_for_a_version_does_not_wait_for_later_changes(self):
+        self.put_in_force()
+        self.write_status(5)
+        self.json('drain', 'dockwatch-1')
+        self.assertTrue(self.json('status', '--wait', '5')['is_in_force'])
+        self.assertFalse(self.json('status')['is_in_force'])
+
+    def test_waiting_goes_on_through_an_outage(self):
+        self.put_in_force()
+        self.write_status(5)
+        self.standin.set_faults(Faults(outage=True))
+        ending = threading.Thread(target=self.end_outage_after_calls, args=(8,))
+        ending.start()
+        self.addCleanup(ending.join)
+        answer = self.json('status', '--wait', '5')
+        self.assertTrue(answer['is_in_force'])
+
     def test_the_end_of_a_service_is_waited_for(self):
         self.put_in_force()
         for number in (1, 2, 3, 4):
@@ -269,6 +299,27 @@
         self.assertIn('draining dockwatch-2: 42 open flows', out)
 
 
+class StatusObjectTests(testtools.TestCase):
+    """Guards against a status object that outgrows the platform's limit."""
+
+    def test_hosts_with_equal_versions_share_one_map(self):
+        versions = {f'pools/p/services/service-{n}': n for n in range(1, 245)}
+        status = {f'host-{n}': HostStatus(versions, {}) for n in range(64)}
+        status['host-7'] = HostStatus(versions | {'pools/p/members': 9})
+        encoded = encode_status(status)
+        self.assertLess(len(encoded), 32_000)
+        self.assertEqual(status, decode_status(encoded))
+
+    def test_a_status_object_without_shared_maps_is_read(self):
+        value = b'{"a": {"versions": {"k": 1}}, "b": {"versions": {}}}'
+        expected = {'a': HostStatus({'k': 1}), 'b': HostStatus({})}
+        self.assertEqual(expected, decode_status(value))
+
+    def test_another_object_is_no_status(self):
+        with testtools.ExpectedException(PlatformError):
+            decode_status(b'{"a": 1}')
+
+
 class ExitCodeTests(_Case):
     """Guards against failures that scripts cannot tell apart."""
 
