Log a repeated handler fault at most once a second

Ruled out: dropping the traceback, which is needed to find the fault.

Change: one line a second for each kind of event, with the count of faults.

Conclusion: a fault cannot fill the log.

--- a/src/currantshore/internal/balancer.py
+++ b/src/currantshore/internal/balancer.py
@@ -26,6 +26,7 @@
 _IDLE_CHECK_S: Final = 0.05
 _RESTART_DELAY_S: Final = 0.2
 _REBIND_DELAY_S: Final = 1.0
+_FAULT_LOG_INTERVAL_S: Final = 1.0
 
 
 class Balancer:
@@ -37,6 +38,7 @@
         '_datagrams',
         '_driver',
         '_fault_count',
+        '_fault_logged_s',
         '_follower',
         '_is_leaving',
         '_log',
@@ -59,6 +61,7 @@
         self._stop_requested = asyncio.Event()
         self._is_leaving = False
         self._fault_count = 0
+        self._fault_logged_s: dict[str, float] = {}
         self._tasks: list[asyncio.Task[None]] = []
         incarnation = _new_incarnation()
         self._core = BalancerCore.from_config(
@@ -256,7 +259,17 @@
 
     def _on_fault(self, error: BaseException, event_name: str) -> None:
         self._fault_count += 1
-        self._log.error('handler_failed', trigger=event_name, exc_info=error)
+        # A fault in the packet path can occur with every batch.
+        now_s = self._loop.time()
+        logged_s = self._fault_logged_s.get(event_name)
+        if logged_s is None or now_s - logged_s >= _FAULT_LOG_INTERVAL_S:
+            self._fault_logged_s[event_name] = now_s
+            self._log.error(
+                'handler_failed',
+                trigger=event_name,
+                faults=self._fault_count,
+                exc_info=error,
+            )
 
 
 def _new_incarnation() -> int:
