Judge own-side faults on failures and not on each tick

Cause: with failing backend servers each tick looked at all verdicts.

Ruled out: nothing was tried and reverted.

Change: a failure, or 0.25 s, causes the next judgement; the tick measurement answers probes; bench/contactcosts.py counts the handovers of a first contact.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Collection
 from typing import Any, Final, TypeAlias
 
+from bench.contactcosts import measure_contact
 from bench.healthcosts import measure_health
 from bench.losscosts import measure_losses
 from bench.poolcosts import measure_spread, measure_traffic
@@ -56,6 +57,7 @@
         ),
         'spread': lambda: measure_spread(hosts, _LOSS_RATIOS, range(changes)),
         'health': lambda: measure_health(services, hosts[-1]),
+        'contact': lambda: measure_contact(hosts, services[0]),
         'losses': lambda: measure_losses(hosts, _SEED),
         'state': lambda: measure_state(services, hosts),
         'messages': lambda: measure_messages(services[-1]),
--- a/bench/statecosts.py
+++ b/bench/statecosts.py
@@ -16,9 +16,14 @@
     build_pool,
     with_version,
 )
+from currantshore import wire
 from currantshore.core import BalancerCore, CoreConfig
 from currantshore.internal.counters import Counters
-from currantshore.internal.events import ConfigurationChanged
+from currantshore.internal.events import (
+    BackendDatagram,
+    ConfigurationChanged,
+    SendToBackend,
+)
 from currantshore.internal.hashing import stable_hash
 from currantshore.internal.health import HealthPlane
 from currantshore.internal.protos import peers_pb2
@@ -91,7 +96,7 @@
 def _row(pool: PoolSnapshot) -> Figures:
     return {
         'configuration_bytes': len(msgspec.json.encode(pool)),
-        'core_bytes': _allocated(lambda: _core(pool)),
+        'core_bytes': _allocated(lambda: new_core(pool)),
         'health_bytes': _allocated(lambda: _health(pool)),
         'apply_s': _apply_s(pool),
         'tick_cpu_ratio': _tick_cpu_ratio(pool),
@@ -112,7 +117,8 @@
     return after - before
 
 
-def _core(pool: PoolSnapshot) -> BalancerCore:
+def new_core(pool: PoolSnapshot) -> BalancerCore:
+    """Return a core of the first host that holds ``pool``."""
     core = BalancerCore.from_config(
         CoreConfig(
             host_id='host-00',
@@ -137,7 +143,7 @@
 
 def _apply_s(pool: PoolSnapshot) -> float:
     """Return the least CPU time of a core to take one changed service."""
-    core = _core(pool)
+    core = new_core(pool)
     times_s = []
     for version in range(2, 2 + _APPLY_ROUNDS):
         changed = ConfigurationChanged(with_version(pool, 0, version))
@@ -149,17 +155,29 @@
 
 def _tick_cpu_ratio(pool: PoolSnapshot) -> float:
     """Return CPU seconds a second of an idle core's ticks."""
-    core = _core(pool)
-    started_s = time.process_time()
+    core = new_core(pool)
+    elapsed_s = 0.0
     for step in range(1, 1 + round(_TICKED_S / _TICK_S)):
-        core.tick(1.0 + step * _TICK_S)
-    elapsed_s = time.process_time() - started_s
+        now_s = 1.0 + step * _TICK_S
+        started_s = time.process_time()
+        actions = core.tick(now_s)
+        elapsed_s += time.process_time() - started_s
+        for action in actions:
+            if isinstance(action, SendToBackend):
+                core.handle(_probe_answer(action), now_s)
     return round(elapsed_s / _TICKED_S, 6)
 
 
+def _probe_answer(action: SendToBackend) -> BackendDatagram:
+    probe = wire.decode_order(action.payload)
+    probe_id = probe.probe_id if isinstance(probe, wire.Probe) else 0
+    reply = wire.ProbeReply(probe_id, 'service', 0.5, 'active')
+    return BackendDatagram(action.target, wire.encode(reply))
+
+
 def _status(pool: PoolSnapshot) -> dict[str, Any]:
     """Return the status object of a pool whose hosts are all up to date."""
-    versions = _core(pool).status_report()['host-00']
+    versions = new_core(pool).status_report()['host-00']
     return {host.host_id: versions for host in pool.members.hosts}
 
 
--- a/src/currantshore/internal/health.py
+++ b/src/currantshore/internal/health.py
@@ -38,6 +38,8 @@
 # prober less than 100 bytes a second while a backend server is down.
 _REPEAT_INTERVAL_S: Final = 5.0
 _EXPIRY_INTERVAL_S: Final = 1.0
+# Judging looks at every verdict; a failure causes it at once.
+_JUDGE_INTERVAL_S: Final = 0.25
 # Own traffic that works outweighs what peers say for this long.
 _OWN_SUCCESS_S: Final = 2.0
 # Two failures of one service within this time raise its probe rate.
@@ -67,6 +69,8 @@
         '_schedule',
         '_sole',
         '_turn',
+        '_is_judging_due',
+        '_judge_s',
         '_newcomers',
         '_services',
         '_silence',
@@ -114,6 +118,8 @@
         self._votes = Votes()
         self._probe_id = 0
         self._repeat_s = 0.0
+        self._judge_s = 0.0
+        self._is_judging_due = False
         self._expire_s = 0.0
 
     @classmethod
@@ -325,6 +331,7 @@
         if verdict is None:
             return
         verdict.fail(now_s, is_passive=is_passive)
+        self._is_judging_due = True
         service_id = self._services[backend_id]
         previous = self._last_failure.get(service_id)
         self._last_failure[service_id] = (now_s, backend_id)
@@ -355,6 +362,10 @@
     def _suspect(self, now_s: float) -> None:
         if not self._failing and not self._suspicion.is_active:
             return
+        if not self._is_judging_due and now_s < self._judge_s:
+            return
+        self._is_judging_due = False
+        self._judge_s = now_s + _JUDGE_INTERVAL_S
         if self._suspicion.judge(self._verdicts.values(), now_s):
             self.counters.count(Count.SELF_SUSPICIONS)
 
--- a/tests/cover/test_membership.py
+++ b/tests/cover/test_membership.py
@@ -95,6 +95,20 @@
         for node in pool.nodes.values():
             self.assertEqual(24, len(node.plane.view().peers))
 
+    def test_a_rack_that_returns_together_is_known_within_seconds(self):
+        snapshot = build_pool(24)
+        pool = VirtualPool(snapshot, 17, Network(loss_ratio=0.05))
+        pool.run_until(4.0)
+        for place in range(8):
+            pool.stop(f'host-{place:02}')
+        pool.run_until(9.0)
+        for place in range(8):
+            name = f'host-{place:02}'
+            pool.start(name, pool.nodes[name].zone, snapshot)
+        pool.run_until(13.0)
+        for node in pool.nodes.values():
+            self.assertEqual(24, len(node.plane.view().peers))
+
     def test_the_platform_list_speeds_up_but_does_not_overrule(self):
         pool = VirtualPool(build_pool(3), 5)
         pool.run_until(5.0)
