Write the status in the waiting test only once the command waits

Cause: the test wrote the status 50 ms after it started the command; on a busy machine the status was there before the command looked, and no progress line was printed. Seen once in a run of the whole suite. Ruled out: a longer delay, which would fail less often and not never. Change: a thread writes when the stand-in reports a waiting watch.

--- a/tests/cover/test_cli.py
+++ b/tests/cover/test_cli.py
@@ -132,6 +132,10 @@
         self.thread.run(self._until_called(self.standin.calls['list'] + count))
         self.standin.set_faults(Faults(outage=False))
 
+    def write_status_once_watched(self, version):
+        self.thread.run(self._until_watched())
+        self.write_status(version)
+
     async def _until_called(self, count):
         while self.standin.calls['list'] < count:
             await asyncio.sleep(0)
@@ -247,8 +251,9 @@
         self.put_in_force()
         self.write_status(5)
         leaving = self.json('drain', 'harbor-1')
-        waiting = threading.Timer(
-            0.05, self.write_status, (leaving['version'],)
+        # Written only once the command waits, however slow the machine is.
+        waiting = threading.Thread(
+            target=self.write_status_once_watched, args=(leaving['version'],)
         )
         waiting.start()
         self.addCleanup(waiting.join)
