--- a/src/currantshore/internal/flowplane.py
+++ b/src/currantshore/internal/flowplane.py
@@ -51,8 +51,8 @@
 
     __slots__ = (
         '_context',
-        '_counts',
         '_early',
+        '_forwarded',
         '_incarnation',
         '_is_usable',
         '_peers',
@@ -71,7 +71,8 @@
         rng: random.Random,
     ) -> None:
         """Use ``from_config``."""
-        self._counts = counters.counts
+        # Counted here and added to the counters by each tick.
+        self._forwarded = 0
         self._incarnation = incarnation
         self._is_usable = health.is_usable
         self._sealer = sealer
@@ -203,7 +204,7 @@
         if entry is not None:
             route = placer.backends.routes[entry >> 1]
             if route is not None and self._is_usable(route[0]):
-                self._counts[Count.PACKETS_FORWARDED] += 1
+                self._forwarded += 1
                 order = Forwarded(service_id, caller, payload)
                 return [SendToBackend(route[1], encode(order))]
         return flows.on_unknown(caller, flow_key, payload, now_s)
@@ -307,6 +308,8 @@
     def tick(self, now_s: float) -> list[Action]:
         """Expire flows, retry and go on with changes; called every 50 ms."""
         self._peers.note_tick(now_s)
+        self._context.counters.count(Count.PACKETS_FORWARDED, self._forwarded)
+        self._forwarded = 0
         actions: list[Action] = []
         actions.extend(self._context.ledger.retries(now_s))
         for flows in self._services.values():
