--- a/tests/stateful/test_flows.py
+++ b/tests/stateful/test_flows.py
@@ -21,8 +21,13 @@
 _BACKENDS = 4
 _DRAIN_LIMIT_S = 3.0
 
+# Enough traffic for most changes to meet flows that begin meanwhile.
+_STEP_S = 0.05
+_PACKETS_PER_STEP = 2
+_RECENT_FLOWS = 20
+
 _lags = st.lists(
-    st.sampled_from((0.0, 0.1, 0.6, 1.5, 2.4)),
+    st.sampled_from((0.0, 0.1, 0.6, 1.5, 2.9)),
     min_size=len(_HOSTS),
     max_size=len(_HOSTS),
 )
@@ -58,7 +63,9 @@
         self.states = dict.fromkeys(range(_BACKENDS), BackendState.ACTIVE)
         self.drained = {}
 
-    @initialize(seed=st.integers(0, 2**16), loss=st.sampled_from((0.0, 0.02)))
+    @initialize(
+        seed=st.integers(0, 2**16), loss=st.sampled_from((0.0, 0.02, 0.1))
+    )
     def start(self, seed, loss):
         quality = links.LinkQuality(loss_ratio=loss, duplicate_ratio=loss)
         self.network = links.Network(seed, quality)
@@ -83,7 +90,17 @@
 
     @rule(duration_s=st.sampled_from((0.05, 0.3, 1.0, 2.2, 6.0)))
     def wait(self, duration_s):
-        self.network.run(duration_s)
+        """Let time pass while flows begin and go on."""
+        end_s = self.network.now_s + duration_s
+        while self.network.now_s < end_s:
+            self.number += 1
+            self.network.open_flow('a', self.number)
+            flows = tuple(self.network.flows.values())
+            for _ in range(_PACKETS_PER_STEP):
+                recent = flows[-_RECENT_FLOWS:]
+                self.network.send(self.network.rng.choice(recent))
+                self.network.send(self.network.rng.choice(flows))
+            self.network.run(_STEP_S)
 
     @rule(number=st.integers(0, _BACKENDS - 1), lags_s=_lags)
     def drain_or_return(self, number, lags_s):
@@ -166,9 +183,137 @@
     def test_flows_survive_changes_and_faults(self):
         machine = FlowMachine.TestCase()
         machine.settings = settings(
-            max_examples=60,
-            stateful_step_count=24,
+            max_examples=40,
+            stateful_step_count=16,
             derandomize=True,
             deadline=None,
         )
         machine.runTest()
+
+
+_SLOW = (0.0, 2.4, 0.6, 1.5, 2.4)
+_FAST = (0.1, 0.0, 0.1, 0.0, 0.1)
+
+# Each row names the fault and the steps that once broke a flow, or that the
+# design page promises to survive.
+_FAULTS = (
+    (
+        'a started balancer gets packets before it has heard of a peer',
+        0.02,
+        (
+            ('open_flows', 8),
+            ('send_on_all_flows', 3),
+            ('kill', 'h3'),
+            ('drain_or_return', 1, _SLOW),
+            ('start_again', 0.0),
+            ('send_on_all_flows', 2),
+        ),
+    ),
+    (
+        'a balancer leaves before it learns of a change',
+        0.0,
+        (
+            ('open_flows', 30),
+            ('drain_or_return', 0, _SLOW),
+            ('wait', 0.3),
+            ('open_flows', 30),
+            ('leave', 'h1'),
+            ('wait', 6.0),
+            ('send_on_all_flows', 2),
+        ),
+    ),
+    (
+        'a change starts after a balancer has left',
+        0.0,
+        (
+            ('open_flows', 40),
+            ('leave', 'h2'),
+            ('wait', 6.0),
+            ('drain_or_return', 0, _FAST),
+            ('wait', 6.0),
+            ('send_on_all_flows', 2),
+        ),
+    ),
+    (
+        'lookups and replies are lost while owners see a change unevenly',
+        0.1,
+        (
+            ('drain_or_return', 0, _SLOW),
+            ('open_flows', 40),
+            ('wait', 1.0),
+            ('open_flows', 40),
+            ('send_on_all_flows', 2),
+            ('wait', 2.2),
+            ('send_on_all_flows', 3),
+        ),
+    ),
+    (
+        'a drained server returns while another one starts to drain',
+        0.02,
+        (
+            ('open_flows', 30),
+            ('drain_or_return', 0, _SLOW),
+            ('open_flows', 30),
+            ('wait', 1.0),
+            ('drain_or_return', 0, _FAST),
+            ('drain_or_return', 1, _SLOW),
+            ('open_flows', 30),
+            ('send_on_all_flows', 3),
+            ('wait', 6.0),
+            ('send_on_all_flows', 3),
+        ),
+    ),
+    (
+        'an owner is killed in the middle of a change and comes back',
+        0.02,
+        (
+            ('open_flows', 30),
+            ('send_on_all_flows', 3),
+            ('drain_or_return', 0, _SLOW),
+            ('wait', 1.0),
+            ('kill', 'h0'),
+            ('open_flows', 30),
+            ('send_on_all_flows', 2),
+            ('start_again', 0.5),
+            ('send_on_all_flows', 2),
+            ('wait', 6.0),
+            ('send_on_all_flows', 2),
+        ),
+    ),
+    (
+        'a balancer is frozen until its peers take it for dead',
+        0.0,
+        (
+            ('open_flows', 30),
+            ('send_on_all_flows', 3),
+            ('drain_or_return', 0, _SLOW),
+            ('freeze', 'h1', 3.0),
+            ('send_on_all_flows', 2),
+            ('wait', 2.2),
+            ('open_flows', 30),
+            ('send_on_all_flows', 2),
+            ('wait', 1.0),
+            ('send_on_all_flows', 3),
+        ),
+    ),
+)
+
+
+class FaultTests(testtools.TestCase):
+    """Guards against the faults in the table, each with several seeds."""
+
+    def test_no_flow_moves_and_no_packet_strays(self):
+        for name, loss, steps in _FAULTS:
+            for seed in range(4):
+                self.play(f'{name}, seed {seed}', seed, loss, steps)
+
+    def play(self, label, seed, loss, steps):
+        machine = FlowMachine()
+        machine.start(seed, loss)
+        for step, *arguments in steps:
+            is_open = step == 'open_flows'
+            extra = {'is_framed': False} if is_open else {}
+            getattr(machine, step)(*arguments, **extra)
+        self.assertEqual([], machine.network.broken, label)
+        self.assertEqual([], machine.network.strayed, label)
+        machine.a_drained_backend_server_gets_no_new_flow()
