Hold flows on a pool of one host in the packet floor

Ruled out: a fault of the flow table.

Change: a one-host pool; the run fails unless every flow was placed.

Conclusion: memory figures are of held flows again.

--- a/bench/floor.py
+++ b/bench/floor.py
@@ -32,7 +32,7 @@
 
 def measure_core() -> dict[str, float]:
     """Return nanoseconds of core time for a packet of a new and known flow."""
-    core = floorparts.build_core(users.lakeshore())
+    core = floorparts.build_core(users.lakeshore(1))
     packets = [
         CallerDatagram(_SERVICE, floorparts.caller(number), floorparts.PAYLOAD)
         for number in range(_CORE_PACKETS)
@@ -179,6 +179,8 @@
     child = await _bench('--part=hold', f'--flows={count}')
     figures = await child.read_line()
     await child.wait()
+    if figures['placed'] != count:
+        raise RuntimeError(f'placed {figures["placed"]} of {count} flows')
     return float(round(figures['rss_mb'], 1))
 
 
--- a/bench/floorparts.py
+++ b/bench/floorparts.py
@@ -8,6 +8,7 @@
 
 from currantshore.core import BalancerCore, CoreConfig
 from currantshore.internal import daemon
+from currantshore.internal.counters import Count
 from currantshore.internal.events import CallerDatagram, ConfigurationChanged
 from currantshore.internal.snapshot import PoolSnapshot
 from currantshore.wire import Endpoint
@@ -29,6 +30,7 @@
         CoreConfig(host.host_id, host.zone, 1, b'k' * 32),
     )
     core.handle(ConfigurationChanged(pool), 0)
+    core.tick(0)
     return core
 
 
@@ -46,7 +48,7 @@
 
 def hold(count: int) -> None:
     """Print the resident memory of a balancer's parts with ``count`` flows."""
-    core = build_core(users.lakeshore())
+    core = build_core(users.lakeshore(1))
     open_flows(core, count)
     with open('/proc/self/statm', encoding='ascii') as statm:
         pages = int(statm.read().split()[1])
@@ -54,7 +56,8 @@
         json.dumps(
             {
                 'rss_mb': pages * resource.getpagesize() / 2**20,
-                'daemon': daemon.__name__,
+                'placed': core.counters.counts[Count.FLOWS_PLACED],
+                'process': daemon.__name__,
             }
         )
     )
