Tell a lost zone from a fault on the own side

Cause: at 488 backend servers each is probed every 4.5 s to 7 s, but a success counted for 5 s only, so balancers that lost half of the backend servers suspected themselves and never held them down; with few probes of its own a balancer also met only dead ones by chance.

Ruled out: a higher threshold alone, since a sample of five can be all dead.

Change: a success counts for 2.5 probe intervals, and a failing backend server that a peer holds down as well is no evidence against this balancer. The health measurement loses a zone with its hosts.

--- a/bench/healthcosts.py
+++ b/bench/healthcosts.py
@@ -26,6 +26,9 @@
 _BACKENDS_PER_SERVICE: Final = 2
 _QUIET_S: Final = 20.0
 _AFTER_S: Final = 20.0
+_RECOVERY_S: Final = 40.0
+# Membership knows of the loss of a zone after this time; see losscosts.
+_VIEW_DELAY_S: Final = 4.0
 # A rack of the platform holds about this many backend servers of one pool.
 _RACK_BACKENDS: Final = 20
 
@@ -61,15 +64,23 @@
             )
             for host in self.pool.members.hosts
         }
-        peers = {
+        self.is_view_late = False
+        self.peers = {
             host.host_id: PeerView(
                 host.host_id, host.zone, 1, False, True, 0, {}
             )
             for host in self.pool.members.hosts
         }
-        for host_id, plane in self.planes.items():
+        for plane in self.planes.values():
             plane.configure(self.pool, 0.0)
-            plane.on_live_view(LiveView(host_id, peers, 1), 0.0)
+        self.show_peers()
+
+    def show_peers(self) -> None:
+        """Give every plane the live hosts."""
+        self.is_view_late = False
+        for host_id, plane in self.planes.items():
+            view = LiveView(host_id, dict(self.peers), 1)
+            plane.on_live_view(view, self.now_s)
 
     def measure(self) -> Figures:
         """Return the costs in quiet and after the loss of a rack."""
@@ -84,26 +95,50 @@
             ),
             'cpu_ratio': round(self.cpu_s / node_seconds, 6),
         }
-        self.reset()
-        return quiet | self.lose_rack()
+        names = sorted(self.by_endpoint.values())
+        rack = set(names[: min(_RACK_BACKENDS, len(names) // 4)])
+        rack_figures = self.lose(rack, 'rack')
+        self.dead = set()
+        self.run(_RECOVERY_S)
+        return quiet | rack_figures | self.lose_zone()
+
+    def lose_zone(self) -> Figures:
+        """Lose the hosts and the backend servers of one zone together."""
+        zone = self.pool.members.zones[0]
+        for host in self.pool.members.hosts:
+            if host.zone == zone:
+                self.planes.pop(host.host_id)
+                self.peers.pop(host.host_id)
+        dead = {
+            backend.backend_id
+            for service in self.pool.services
+            for backend in service.backend_servers
+            if backend.zone == zone
+        }
+        self.is_view_late = True
+        figures = self.lose(dead, 'zone')
+        figures['zone_lost_backends'] = len(dead)
+        return figures
 
-    def lose_rack(self) -> Figures:
+    def lose(self, dead: set[str], label: str) -> Figures:
         """Kill backend servers and follow until all balancers know."""
-        names = sorted(self.by_endpoint.values())
-        self.dead = set(names[: min(_RACK_BACKENDS, len(names) // 4)])
+        self.reset()
+        self.dead = dead
         started_s = self.now_s
         known_s = 0.0
         while self.now_s - started_s < _AFTER_S:
             self.run(_TICK_S)
+            if self.is_view_late and self.now_s - started_s > _VIEW_DELAY_S:
+                self.show_peers()
             if not known_s and self.is_known():
                 known_s = self.now_s - started_s
         busiest = max(self.sent_bytes.values())
         return {
-            'rack_known_s': round(known_s, 2),
-            'rack_mean_bytes_per_s': round(
+            f'{label}_known_s': round(known_s, 2),
+            f'{label}_mean_bytes_per_s': round(
                 self.sent_bytes.total() / len(self.planes) / _AFTER_S
             ),
-            'rack_busiest_bytes_per_s': round(busiest / _AFTER_S),
+            f'{label}_busiest_bytes_per_s': round(busiest / _AFTER_S),
         }
 
     def is_known(self) -> bool:
@@ -156,7 +191,8 @@
 
     def _report(self, peer_id: str, payload: bytes) -> None:
         report = peerwire.unseal(payload, PEER_KEY)
-        if isinstance(report, peerwire.HealthReport):
+        is_there = peer_id in self.planes
+        if is_there and isinstance(report, peerwire.HealthReport):
             started_s = time.process_time()
             self.planes[peer_id].on_health_report(report, self.now_s)
             self.cpu_s += time.process_time() - started_s
--- a/src/currantshore/internal/health.py
+++ b/src/currantshore/internal/health.py
@@ -366,7 +366,9 @@
             return
         self._is_judging_due = False
         self._judge_s = now_s + _JUDGE_INTERVAL_S
-        if self._suspicion.judge(self._verdicts.values(), now_s):
+        interval_s = self._schedule.usual_interval_s
+        confirmed = self._votes.suspected()
+        if self._suspicion.judge(self._verdicts, confirmed, interval_s, now_s):
             self.counters.count(Count.SELF_SUSPICIONS)
 
     def _refresh(self, now_s: float) -> None:
--- a/src/currantshore/internal/probing.py
+++ b/src/currantshore/internal/probing.py
@@ -72,6 +72,11 @@
         self._services = dict(services)
         self._doubtful &= services.keys()
 
+    @property
+    def usual_interval_s(self) -> float:
+        """Return the time between probes when nothing fails."""
+        return self._interval_s
+
     def is_assigned(self, backend_id: str) -> bool:
         """Tell whether this balancer probes ``backend_id``."""
         return backend_id in self._services
--- a/src/currantshore/internal/suspicion.py
+++ b/src/currantshore/internal/suspicion.py
@@ -1,6 +1,6 @@
 """Suspicion that a fault lies on this balancer's own side."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Mapping
 from typing import Final
 
 from currantshore.internal.verdicts import Verdict
@@ -10,7 +10,8 @@
 _START_RATIO: Final = 0.8
 _STOP_RATIO: Final = 0.5
 _MIN_BACKENDS: Final = 3
-_EVIDENCE_AGE_S: Final = 5.0
+_MIN_EVIDENCE_AGE_S: Final = 5.0
+_INTERVALS: Final = 2.5
 
 
 class SelfSuspicion:
@@ -22,14 +23,27 @@
         """Start without suspicion."""
         self.is_active = False
 
-    def judge(self, verdicts: Iterable[Verdict], now_s: float) -> bool:
-        """Look at all verdicts; tell whether the suspicion has just begun."""
+    def judge(
+        self,
+        verdicts: Mapping[str, Verdict],
+        confirmed: Collection[str],
+        probe_interval_s: float,
+        now_s: float,
+    ) -> bool:
+        """Look at all verdicts; tell whether the suspicion has just begun.
+
+        A backend server that worked within a few probe intervals counts as
+        working: between two probes nothing new is heard of an idle one. A
+        failing one that another balancer holds down (``confirmed``) counts for
+        nothing, since a fault here does not explain it.
+        """
+        age_s = max(_MIN_EVIDENCE_AGE_S, _INTERVALS * probe_interval_s)
         failing = 0
         working = 0
-        for verdict in verdicts:
+        for backend_id, verdict in verdicts.items():
             if verdict.is_failing or verdict.is_down:
-                failing += 1
-            elif now_s - verdict.last_success_s < _EVIDENCE_AGE_S:
+                failing += backend_id not in confirmed
+            elif now_s - verdict.last_success_s < age_s:
                 working += 1
         known = failing + working
         was_active = self.is_active
--- a/tests/cover/test_health.py
+++ b/tests/cover/test_health.py
@@ -302,6 +302,46 @@
         for backend_id in row:
             self.assertEqual({False}, set(balancers.seeing(backend_id)))
 
+    def test_what_a_peer_holds_down_as_well_is_no_own_side_fault(self):
+        plane = _Balancers().planes['host-02']
+        names = [backend.backend_id for backend in _BACKENDS.values()]
+        verdicts = dict.fromkeys(names, False)
+        report = peerwire.HealthReport('host-01', '', verdicts, 7, 1)
+        plane.on_health_report(report, 0.9)
+        for backend_id in names * FAILURES_TO_DOWN:
+            plane.record_failure(backend_id, 1.0)
+        plane.tick(1.05)
+        self.assertEqual(0, plane.counters.counts[Count.SELF_SUSPICIONS])
+        self.assertFalse(any(plane.is_usable(name) for name in names))
+
+    def test_half_of_a_large_pool_is_no_own_side_fault(self):
+        """Idle servers are probed seldom, and count as working meanwhile."""
+        pool = build_pool(4, 60, 2)
+        names = {
+            backend.endpoint: backend.backend_id
+            for service in pool.services
+            for backend in service.backend_servers
+        }
+        dead = set(list(names.values())[::2])
+        plane = HealthPlane.from_config(
+            'host-00', Counters(), PEER_KEY, random.Random(1)
+        )
+        plane.configure(pool, 0.0)
+        plane.on_live_view(_view('host-00', 1), 0.0)
+        for step in range(1, 2400):
+            now_s = step * _TICK_S
+            for action in plane.tick(now_s):
+                is_dead = now_s > 60 and names[action.target] in dead
+                probe = wire.decode_order(action.payload)
+                reply = wire.ProbeReply(probe.probe_id, 's', 0.0, '')
+                if not is_dead:
+                    plane.on_probe_reply(action.target, reply, now_s)
+        self.assertEqual(0, plane.counters.counts[Count.SELF_SUSPICIONS])
+        for backend_id in names.values():
+            self.assertEqual(
+                backend_id not in dead, plane.is_usable(backend_id)
+            )
+
 
 class ConfigureTests(testtools.TestCase):
     """Guards against cold starts at full load and stale verdicts."""
