Visit idle services once a second and not in every tick

Change: a tick visits services with a change, a handover, a lookup or a request, and one in twenty of the others; demands are added up four times a second; preparedness asks the ledger once for all services.

--- a/src/currantshore/core.py
+++ b/src/currantshore/core.py
@@ -26,6 +26,10 @@
 
 _MAX_KEY_SIZE_BYTES: Final = 64
 
+# Heartbeats leave every 0.5 s; adding up the demand of all services of a pool
+# more often than twice for each of them is work for nothing.
+_DEMANDS_INTERVAL_S: Final = 0.25
+
 _Actions: TypeAlias = list[Action]
 _Versions: TypeAlias = dict[str, int]
 _HostVersions: TypeAlias = dict[str, dict[str, _Versions]]
@@ -42,6 +46,7 @@
     __slots__ = (
         '_callers',
         '_config',
+        '_demands_due_s',
         '_fabric',
         '_is_leaving',
         '_parts',
@@ -57,6 +62,7 @@
         self._fabric = FabricIntake(self._parts, self._callers, config.peer_key)
         self._pool: PoolSnapshot | None = None
         self._is_leaving = False
+        self._demands_due_s = float('-inf')
         self._view = self._parts.membership.view()
 
     @classmethod
@@ -150,7 +156,7 @@
 
     def tick(self, now_s: float) -> _Actions:
         """Run everything that is due; call it at least every 50 ms."""
-        self._parts.membership.set_demands(self._parts.requests.demands())
+        self._publish_demands(now_s)
         self._parts.membership.set_prepared(self._parts.flows.is_prepared())
         self._parts.membership.set_warm(self._parts.flows.is_warm())
         self._parts.membership.set_successor(self._parts.requests.successor)
@@ -192,6 +198,12 @@
         actions += self._parts.flows.leave(now_s)
         return actions
 
+    def _publish_demands(self, now_s: float) -> None:
+        if now_s >= self._demands_due_s:
+            self._demands_due_s = now_s + _DEMANDS_INTERVAL_S
+            demands = self._parts.requests.demands()
+            self._parts.membership.set_demands(demands)
+
     def _settle(self, actions: _Actions, now_s: float) -> _Actions:
         view = self._parts.membership.view()
         if view is not self._view:
--- a/src/currantshore/internal/admission.py
+++ b/src/currantshore/internal/admission.py
@@ -56,6 +56,13 @@
         self._total_s = 0.0
         self._slack = 1.0
 
+    def __bool__(self) -> bool:
+        """Tell whether any request waits."""
+        for queue in self._classes.values():
+            if queue.size:
+                return True
+        return False
+
     def __len__(self) -> int:
         """Count the waiting requests."""
         return sum(queue.size for queue in self._classes.values())
--- a/src/currantshore/internal/executor.py
+++ b/src/currantshore/internal/executor.py
@@ -18,6 +18,7 @@
 from currantshore.internal.runs import RunIds, Work
 from currantshore.internal.servicerunner import ServiceRunner
 from currantshore.internal.snapshot import ServiceSnapshot
+from currantshore.internal.turns import Turns
 from currantshore.internal.views import BackendHealth, LiveView
 
 _RETRY_AFTER_MS: Final = 1000
@@ -39,6 +40,7 @@
         '_owners',
         '_run_ids',
         '_runners',
+        '_turns',
         '_view',
     )
 
@@ -58,6 +60,7 @@
         self._outcomes = Outcomes(counters)
         self._run_ids = RunIds(host_id, incarnation)
         self._runners: dict[str, ServiceRunner] = {}
+        self._turns = Turns()
         self._view: LiveView | None = None
         self._owners: tuple[str, ...] = ()
         self._applied_s = float('-inf')
@@ -175,7 +178,7 @@
 
     def tick(self, now_s: float) -> None:
         """Do what is due at ``now_s``."""
-        for runner in self._runners.values():
+        for runner in self._turns.pick(self._runners.values(), _is_busy):
             runner.tick(now_s)
 
     def demands(self) -> dict[str, int]:
@@ -228,3 +231,7 @@
             if demand:
                 demands[peer.host_id] = demand
         return demands or {self._host_id: 0}
+
+
+def _is_busy(runner: ServiceRunner) -> bool:
+    return runner.is_busy()
--- a/src/currantshore/internal/flowplane.py
+++ b/src/currantshore/internal/flowplane.py
@@ -25,6 +25,7 @@
 from currantshore.internal.snapshot import PoolSnapshot
 from currantshore.internal.tokens import FlowToken, TokenSealer
 from currantshore.internal.tracking import ServiceFlows
+from currantshore.internal.turns import Turns
 from currantshore.internal.views import BackendHealth, LiveView
 from currantshore.wire import (
     Data,
@@ -58,6 +59,7 @@
         '_peers',
         '_sealer',
         '_services',
+        '_turns',
     )
 
     def __init__(
@@ -87,6 +89,7 @@
             rng,
         )
         self._services: dict[str, ServiceFlows] = {}
+        self._turns = Turns()
         # Handovers of services that this balancer does not know yet.
         self._early: list[FlowsHandedOver] = []
 
@@ -307,8 +310,10 @@
 
     def is_prepared(self) -> bool:
         """Tell whether all handovers of the last change were acknowledged."""
-        return all(
-            flows.placer.sharing.is_prepared()
+        if self._context.ledger.is_any_blocking():
+            return False
+        return not any(
+            flows.placer.sharing.has_waiting
             for flows in self._services.values()
         )
 
@@ -329,7 +334,7 @@
         self._forwarded = 0
         actions: list[Action] = []
         actions.extend(self._context.ledger.retries(now_s))
-        for flows in self._services.values():
+        for flows in self._turns.pick(self._services.values(), _is_busy):
             actions.extend(flows.tick(now_s))
         return actions
 
@@ -372,3 +377,7 @@
     def _drop(self, reason: DropReason) -> list[Action]:
         self._context.counters.drop(reason)
         return []
+
+
+def _is_busy(flows: ServiceFlows) -> bool:
+    return flows.is_busy()
--- a/src/currantshore/internal/servicerunner.py
+++ b/src/currantshore/internal/servicerunner.py
@@ -165,6 +165,10 @@
             )
         self.dispatch(now_s)
 
+    def is_busy(self) -> bool:
+        """Tell whether a request runs or waits."""
+        return bool(self._runs) or bool(self._queue)
+
     def tick(self, now_s: float) -> None:
         """Give up on late requests and runs; use slots that became free."""
         self._note_peak(now_s)
--- a/src/currantshore/internal/sharing.py
+++ b/src/currantshore/internal/sharing.py
@@ -78,6 +78,11 @@
         self._waiting: list[Handover] = []
         self._continue_at_s = float('-inf')
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether second owners have not been sent their exceptions."""
+        return bool(self._waiting)
+
     def is_prepared(self) -> bool:
         """Tell whether the owners have acknowledged all exceptions."""
         if self._waiting:
--- a/src/currantshore/internal/tracking.py
+++ b/src/currantshore/internal/tracking.py
@@ -83,6 +83,10 @@
         """Tell whether no packet and no exception waits."""
         return self.desk.is_idle() and self.placer.sharing.is_idle()
 
+    def is_busy(self) -> bool:
+        """Tell whether a change, a handover or a lookup is going on."""
+        return self.placer.change.moved is not None or not self.is_idle()
+
     def tick(self, now_s: float) -> list[Action]:
         """Expire flows, retry lookups and go on with a change."""
         placer = self.placer
