Give a started balancer time to meet its peers; keep drain deadlines

The state machine found two faults: a started balancer that had met one peer took it for the whole pool, and a second change put off the end of a drain.

A longer warming time alone was ruled out: the pool may be small and known.

A started balancer waits until it has met all declared hosts, or for 1 s; later changes keep the deadline of an uncommitted one.

--- a/src/currantshore/internal/change.py
+++ b/src/currantshore/internal/change.py
@@ -19,6 +19,9 @@
 # owner sends the exceptions of a first owner that is gone when it sees that.
 _OWNER_CHANGE_HOLD_S: Final = 1.0
 
+# Two heartbeat intervals: a balancer that started earlier has been heard of.
+_MEETING_TIME_S: Final = 1.0
+
 # The version of a service of which nothing was committed yet.
 NO_VERSION: Final = -1
 
@@ -64,6 +67,7 @@
         """
         self._settled_versions: dict[str, int] = {}
         self._started_at_s = now_s
+        self._prepared_at_s = now_s
         self._hold_until_s = now_s
         self._updates = 0
         self.table = table
@@ -90,6 +94,8 @@
         two, so all buckets count as moved.
         """
         if self.is_committed:
+            # Later changes do not put off the end of an uncommitted one.
+            self._prepared_at_s = now_s
             self.base = self.table
             self.is_doubtful = self.moved is not None
         moved = _difference(self.table, table)
@@ -124,16 +130,12 @@
         """Commit when all peers have prepared, or after the timeout.
 
         Only a live view that came after the change shows what the peers have
-        prepared of it. A balancer that has just started and sees nobody waits
-        for the timeout, because it may not have heard of its peers yet.
+        prepared of it.
         """
         if self.is_committed:
             return False
         is_seen = peers.updates > self._updates and not peers.unprepared
-        is_lonely = (
-            self.base is None and peers.has_declared and not peers.others
-        )
-        is_ready = is_seen and not is_blocked and not is_lonely
+        is_ready = is_seen and not is_blocked and self._has_met(peers, now_s)
         is_late = now_s >= self._prepared_at_s + self._prepare_timeout_s
         if not (is_ready or is_late):
             return False
@@ -152,31 +154,36 @@
         held = self._settled_versions.get(host, NO_VERSION)
         self._settled_versions[host] = max(held, version)
 
-    def settle_if_complete(self, others: Iterable[str], now_s: float) -> None:
+    def settle_if_complete(self, peers: Peers, now_s: float) -> None:
         """Trust the new table once every owner has sent its exceptions.
 
         Flows that nobody told of for an idle timeout have ended.
         """
-        self._warm_up(others, now_s)
-        if not self.is_committed or self.moved is None:
+        self._warm_up(peers, now_s)
+        if not (self.is_warm and self.is_committed) or self.moved is None:
             return
         is_old = now_s >= self._committed_at_s + self._idle_timeout_s
-        is_told = self._have_settled(others, self._version)
+        is_told = self._have_settled(peers.others, self._version)
         if is_old or (is_told and now_s >= self._hold_until_s):
             self.moved = None
             self.base = None
-            self.is_warm = True
             self.is_forced = False
             self.is_doubtful = False
 
-    def _warm_up(self, others: Iterable[str], now_s: float) -> None:
+    def _warm_up(self, peers: Peers, now_s: float) -> None:
         """Answer lookups once every peer has told of its exceptions."""
         if self.is_warm:
             return
         is_old = now_s >= self._started_at_s + self._prepare_timeout_s
-        hosts = tuple(others)
-        is_told = bool(hosts) and self._have_settled(hosts, NO_VERSION + 1)
-        self.is_warm = is_old or is_told
+        is_told = self._have_settled(peers.others, NO_VERSION + 1)
+        has_met = bool(peers.others) and self._has_met(peers, now_s)
+        self.is_warm = is_old or (is_told and has_met)
+
+    def _has_met(self, peers: Peers, now_s: float) -> bool:
+        """Tell whether a started balancer has had time to hear of its peers."""
+        if self.is_warm or peers.has_met_all():
+            return True
+        return now_s >= self._started_at_s + _MEETING_TIME_S
 
     def _have_settled(self, others: Iterable[str], version: int) -> bool:
         versions: Mapping[str, int] = self._settled_versions
@@ -191,7 +198,6 @@
         self._version = service.version
         self._idle_timeout_s = service.flow_idle_timeout_s
         self._prepare_timeout_s = service.prepare_timeout_s
-        self._prepared_at_s = now_s
         self._updates = updates
         if self.is_committed:
             self._commit(now_s)
--- a/src/currantshore/internal/flowplane.py
+++ b/src/currantshore/internal/flowplane.py
@@ -118,11 +118,10 @@
         The next ``on_live_view`` must carry the digest of ``pool``.
         """
         is_start = not self._services
-        self._peers.has_declared = any(
-            host.host_id != self._context.host_id for host in pool.members.hosts
-        )
+        hosts = {host.host_id for host in pool.members.hosts}
+        self._peers.declared = frozenset(hosts - {self._context.host_id})
         is_known_by_peers = self._peers.is_behind or (
-            is_start and self._peers.has_declared
+            is_start and bool(self._peers.declared)
         )
         actions: list[Action] = []
         for service in pool.services:
--- a/src/currantshore/internal/peers.py
+++ b/src/currantshore/internal/peers.py
@@ -60,8 +60,8 @@
         '_is_leaving',
         '_last_tick_s',
         '_since',
+        'declared',
         'deciders',
-        'has_declared',
         'is_behind',
         'others',
         'owners',
@@ -80,8 +80,8 @@
         self.others: frozenset[str] = frozenset()
         self.unprepared: frozenset[str] = frozenset()
         self.is_behind = False
-        # Whether the configuration names other hosts of the pool.
-        self.has_declared = False
+        # The other hosts that the configuration names.
+        self.declared: frozenset[str] = frozenset()
         # Counts live views; a change commits only on one that came after it.
         self.updates = 0
         self._is_leaving = False
@@ -142,6 +142,10 @@
             or now_s - self._since[host][1] >= _ELDER_AFTER_S
         )
 
+    def has_met_all(self) -> bool:
+        """Tell whether every declared host is in the live view."""
+        return self.declared <= self.others
+
     def note_tick(self, now_s: float) -> None:
         """Detect that this process did not run for a while."""
         if self._has_gap(now_s):
--- a/src/currantshore/internal/tracking.py
+++ b/src/currantshore/internal/tracking.py
@@ -105,5 +105,5 @@
             actions = sharing.announce_commit(now_s)
             if change.is_forced:
                 self._context.counters.count(Count.PREPARE_TIMEOUTS)
-        change.settle_if_complete(peers.others, now_s)
+        change.settle_if_complete(peers, now_s)
         return actions
