Poll the peers when the first owner itself cannot decide

An owner that had been frozen asked the second owner, which placed a flow that a third balancer already knew.

Relaying back to the asker was ruled out: it cannot decide.

The second owner polls the other peers before it places the flow.

--- a/src/currantshore/internal/asking.py
+++ b/src/currantshore/internal/asking.py
@@ -159,11 +159,15 @@
             pending.askers.add(asker)
             return []
         kind, hosts = self._plan(flow_key, now_s)
-        hosts = [host for host in hosts if host != asker]
         if kind is not LookupKind.POLL:
             # A third balancer leaves the decision to the owners, too.
             kind = LookupKind.RELAY
-            hosts = hosts[:1]
+            hosts = [host for host in hosts if host != asker][:1]
+        if kind is LookupKind.RELAY and not hosts:
+            # The first owner asks because it cannot decide itself.
+            kind = LookupKind.POLL
+            hosts = sorted(self._context.peers.others)
+        hosts = [host for host in hosts if host != asker]
         if not hosts:
             return self._reply(asker, flow_key, self._placer.place(flow_key))
         pending = self._lookups.start(flow_key, hosts, kind, now_s)
