--- a/src/currantshore/internal/admission.py
+++ b/src/currantshore/internal/admission.py
@@ -19,7 +19,7 @@
 
 # Requests that come at random and have deadlines need more than their mean
 # slot time; see docs/measurements/overload.md.
-_SHARE_SLACK: Final = 1.2
+_SHARE_SLACK: Final = 1.3
 
 # Charged for a run while the class has no mean run time yet.
 _FIRST_RUN_S: Final = 0.02
