Bound the request ids of all logs together

Cause: 65,536 logs with 1,024 ids each would take 7 GB; only each log and the number of logs were bounded. Ruled out: refusing requests at the bound; a few flows with full logs would then stop all others. Change: above 262,144 ids, a log that gets another id is cut to 8. Conclusion: ids cut off are answered as too old, which promises nothing.

--- a/src/currantshore/internal/outcomes.py
+++ b/src/currantshore/internal/outcomes.py
@@ -37,13 +37,12 @@
 
     def begin(self, work: Work) -> bool:
         """Record a fresh request; ``False`` if there are too many flows."""
-        log = self.logs.find_or_add(work.service_id, work.flow_key)
-        if log is None:
+        request_id = work.request.request_id
+        if not self.logs.note(work.service_id, work.flow_key, request_id):
             # Nothing is recorded, so a copy of the request may run later and
             # "not run" cannot be promised.
             self.refuse_once(work, ResultCode.OUTCOME_UNKNOWN)
             return False
-        log.note(work.request.request_id)
         self.works[work.key] = work
         return True
 
@@ -117,13 +116,17 @@
 
     def _finish(self, work: Work, outcome: Outcome) -> None:
         self.works.pop(work.key, None)
-        log = self.logs.find_or_add(work.service_id, work.flow_key)
         # The log holds the code of a refusal; in the cache, the refusals of a
         # flood would push out the answers.
         if outcome.code is ResultCode.OK:
             self._answers.put(work.flow_key, outcome)
-        elif log is not None:
-            log.note(outcome.request_id, outcome.code)
+        else:
+            self.logs.note(
+                work.service_id,
+                work.flow_key,
+                outcome.request_id,
+                outcome.code,
+            )
         self._tell(work, outcome)
 
     def _tell(self, work: Work, outcome: Outcome) -> None:
--- a/src/currantshore/internal/requesthandover.py
+++ b/src/currantshore/internal/requesthandover.py
@@ -75,8 +75,8 @@
         raise WireFormatError(str(error)) from error
 
 
-def merge_flow(log: RequestLog, flow: FlowIds) -> None:
-    """Add the ids of ``flow`` to ``log``."""
+def codes_of(flow: FlowIds) -> dict[int, ResultCode]:
+    """Return the ids of ``flow`` with the code of each outcome."""
     codes = dict.fromkeys(flow.used, ResultCode.OUTCOME_UNKNOWN)
     known = set(ResultCode)
     for code, request_ids in flow.refused.items():
@@ -87,7 +87,7 @@
             codes.update(
                 dict.fromkeys(request_ids, ResultCode.OUTCOME_UNKNOWN),
             )
-    log.merge(flow.floor, codes)
+    return codes
 
 
 def _chunks(logs: Mapping[int, RequestLog]) -> Iterator[list[FlowIds]]:
--- a/src/currantshore/internal/requestlog.py
+++ b/src/currantshore/internal/requestlog.py
@@ -8,11 +8,10 @@
 from currantshore.codes import ResultCode
 
 # A caller with more requests than this between two re-sends of one request
-# learns "too old" for it; the bound keeps a flow below about 100 KB.
+# learns "too old" for it; the bound keeps a flow at about 110 KB.
 MAX_IDS_ABOVE_FLOOR: Final = 1024
 
-# Finding the lowest ids takes a scan, so several go at a time.
-_DROPPED_AT_ONCE: Final = 64
+_DROPPED_PART: Final = 16
 
 
 @enum.unique
@@ -69,13 +68,20 @@
         self,
         request_id: int,
         code: ResultCode = ResultCode.OUTCOME_UNKNOWN,
+        limit: int = MAX_IDS_ABOVE_FLOOR,
     ) -> None:
-        """Record that ``request_id`` is used and what became of it."""
+        """Record that ``request_id`` is used and what became of it.
+
+        Above ``limit`` ids, the lowest go and the floor rises.
+        """
         if request_id < self._floor and request_id not in self._codes:
             return
         self._codes[request_id] = code
-        if len(self._codes) > MAX_IDS_ABOVE_FLOOR:
-            for lowest in heapq.nsmallest(_DROPPED_AT_ONCE, self._codes):
+        if len(self._codes) > limit:
+            # Finding the lowest ids takes a scan, so several go at a time.
+            kept = limit - limit // _DROPPED_PART
+            dropped = len(self._codes) - kept
+            for lowest in heapq.nsmallest(dropped, self._codes):
                 self._codes.pop(lowest)
                 self._floor = lowest + 1
 
--- a/src/currantshore/internal/requestlogs.py
+++ b/src/currantshore/internal/requestlogs.py
@@ -1,12 +1,19 @@
 """The request logs of all flows of an executor, bounded in number and age."""
 
+from collections.abc import Mapping
 from typing import Final, TypeAlias
 
-from currantshore.internal.requestlog import RequestLog
+from currantshore.codes import ResultCode
+from currantshore.internal.requestlog import MAX_IDS_ABOVE_FLOOR, RequestLog
 
-# About 45 MB with the ids; a flood of new flows cannot take more.
+# 29 MB with one id for each flow; a flood of new flows cannot take more.
 MAX_FLOWS: Final = 65536
 
+# With more ids than this in all logs, about 30 MB, each log that gets another
+# one is cut to a few, so that their sum is bounded too.
+MAX_IDS: Final = 262144
+IDS_UNDER_PRESSURE: Final = 8
+
 # A process that was paused has not read its sockets, so only time in which it
 # ran counts for the age of a log.
 _MAX_STEP_S: Final = 1.0
@@ -23,7 +30,14 @@
     retention time is the flow idle timeout, within which callers re-send.
     """
 
-    __slots__ = ('_age_s', '_current', '_last_s', '_previous', 'retention_s')
+    __slots__ = (
+        '_age_s',
+        '_current',
+        '_id_count',
+        '_last_s',
+        '_previous',
+        'retention_s',
+    )
 
     def __init__(self) -> None:
         """Start without logs."""
@@ -31,6 +45,7 @@
         self._current: _Logs = {}
         self._previous: _Logs = {}
         self._age_s = 0.0
+        self._id_count = 0
         self._last_s: float | None = None
 
     def find(self, flow_key: int) -> RequestLog | None:
@@ -43,17 +58,42 @@
             self._current[flow_key] = held
         return held[1]
 
-    def find_or_add(
+    def note(
         self,
         service_id: str,
         flow_key: int,
-    ) -> RequestLog | None:
-        """Return the log of a flow; ``None`` if there are too many flows."""
-        log = self.find(flow_key)
-        if log is None and not self._is_full():
-            log = RequestLog()
-            self._current[flow_key] = (service_id, log)
-        return log
+        request_id: int,
+        code: ResultCode = ResultCode.OUTCOME_UNKNOWN,
+    ) -> bool:
+        """Record an id; ``False`` if there are too many flows."""
+        log = self._find_or_add(service_id, flow_key)
+        if log is None:
+            return False
+        held = len(log.codes)
+        limit = MAX_IDS_ABOVE_FLOOR
+        if self._id_count >= MAX_IDS:
+            limit = IDS_UNDER_PRESSURE
+        log.note(request_id, code, limit)
+        self._id_count += len(log.codes) - held
+        return True
+
+    def merge(
+        self,
+        service_id: str,
+        flow_key: int,
+        floor: int,
+        codes: Mapping[int, ResultCode],
+    ) -> bool:
+        """Add another executor's ids; ``False`` if there are too many."""
+        if self._id_count >= MAX_IDS:
+            return False
+        log = self._find_or_add(service_id, flow_key)
+        if log is None:
+            return False
+        held = len(log.codes)
+        log.merge(floor, codes)
+        self._id_count += len(log.codes) - held
+        return True
 
     def of_service(self, service_id: str) -> dict[int, RequestLog]:
         """Return the logs of one service by flow key."""
@@ -71,8 +111,21 @@
         self._last_s = now_s
         if self._age_s >= self.retention_s:
             self._age_s = 0.0
+            dropped = self._previous.values()
+            self._id_count -= sum(len(log.codes) for _, log in dropped)
             self._previous = self._current
             self._current = {}
 
+    def _find_or_add(
+        self,
+        service_id: str,
+        flow_key: int,
+    ) -> RequestLog | None:
+        log = self.find(flow_key)
+        if log is None and not self._is_full():
+            log = RequestLog()
+            self._current[flow_key] = (service_id, log)
+        return log
+
     def _is_full(self) -> bool:
         return len(self._current) + len(self._previous) >= MAX_FLOWS
--- a/src/currantshore/internal/succession.py
+++ b/src/currantshore/internal/succession.py
@@ -15,10 +15,10 @@
 from currantshore.internal.hashing import ranked
 from currantshore.internal.requesthandover import (
     HandoverBody,
+    codes_of,
     decode_body,
     encode_body,
     encode_bodies,
-    merge_flow,
 )
 from currantshore.internal.requestlogs import RequestLogs
 from currantshore.internal.requestroutes import ExecutorRoutes
@@ -146,14 +146,17 @@
         ]
 
     def _merge(self, service_id: str, body: HandoverBody) -> bool:
-        for flow in body.flows:
-            log = self._logs.find_or_add(service_id, flow.flow_key)
-            # Without room for all ids, none of the sender's tokens may be
-            # served: an id that was dropped could run again.
-            if log is None:
-                return False
-            merge_flow(log, flow)
-        return True
+        # Without room for all ids, none of the sender's tokens may be served:
+        # an id that was dropped could run again.
+        return all(
+            self._logs.merge(
+                service_id,
+                flow.flow_key,
+                flow.floor,
+                codes_of(flow),
+            )
+            for flow in body.flows
+        )
 
     def _note(
         self,
--- a/tests/cover/test_executor.py
+++ b/tests/cover/test_executor.py
@@ -136,6 +136,13 @@
             actions = kit.send(self.plane, deadline_ms=0)
         self.assertEqual([201], kit.codes(actions))
 
+    def test_many_ids_in_all_logs_shorten_each_log(self):
+        with mock.patch.object(requestlogs, 'MAX_IDS', 20):
+            for request_id in range(1, 30):
+                kit.send(self.plane, request_id, deadline_ms=0)
+            self.assertEqual([203], kit.codes(kit.send(self.plane, 1)))
+            self.assertEqual([103], kit.codes(kit.send(self.plane, 29)))
+
     def test_a_log_outlives_a_long_pause(self):
         kit.answer(self.plane, kit.send(self.plane))
         for now_s in (0, 5000, 5003, 10000, 10003):
