Bound the requests in progress of all services together

Cause: queues of 244 flooded services with three classes could hold 262 MB of payload (256 requests of 1,400 bytes each). Ruled out: smaller queues for every class; they limit an ordinary flood too. Change: above 16,384 requests in progress, a new one is refused with 101. Conclusion: this bound does not look at urgency; it is for many floods only.

--- a/src/currantshore/internal/executor.py
+++ b/src/currantshore/internal/executor.py
@@ -22,6 +22,10 @@
 
 _RETRY_AFTER_MS: Final = 1000
 
+# Queues are bounded for each class of each service; this bounds their sum to
+# about 23 MB of payload when many services are flooded at once.
+MAX_IN_PROGRESS: Final = 16384
+
 # Half the heartbeat interval.
 _SHARE_INTERVAL_S: Final = 0.25
 
@@ -113,6 +117,8 @@
             self._outcomes.refuse(work, ResultCode.NOT_READY, _RETRY_AFTER_MS)
         elif len(work.request.payload) > wire.MAX_PAYLOAD_SIZE_BYTES:
             self._outcomes.refuse(work, ResultCode.PAYLOAD_TOO_LARGE)
+        elif len(self._outcomes.works) > MAX_IN_PROGRESS:
+            self._outcomes.refuse(work, ResultCode.QUEUE_FULL, _RETRY_AFTER_MS)
         else:
             runner.offer(work, now_s)
 
--- a/tests/cover/test_executor.py
+++ b/tests/cover/test_executor.py
@@ -7,7 +7,7 @@
 from msgspec import structs
 
 from currantshore import wire
-from currantshore.internal import peerwire, requestlogs
+from currantshore.internal import executor, peerwire, requestlogs
 from currantshore.internal.answercache import AnswerCache
 from currantshore.internal.events import RequestsHandedOver, SendToPeer
 from currantshore.internal.retrybudget import RetryBudget
@@ -20,7 +20,7 @@
     """What happens to a request at host ``a``, incarnation 1."""
 
     name: str
-    executor: str
+    executor_id: str
     incarnation: int
     live: dict
     when_not_repeatable: object
@@ -58,7 +58,7 @@
                 plane.on_live_view(kit.make_view('a', case.live), 0)
                 actions = kit.send(
                     plane,
-                    token=kit.make_token(case.executor, case.incarnation),
+                    token=kit.make_token(case.executor_id, case.incarnation),
                     is_repeatable=repeatable,
                 )
                 self.assertEqual(expected, fate(actions), case.name)
@@ -438,6 +438,12 @@
         actions = kit.send(kit.make_plane(health=health))
         self.assertEqual([104], kit.codes(actions))
 
+    def test_requests_of_all_services_together_are_bounded(self):
+        plane = kit.make_plane()
+        with mock.patch.object(executor, 'MAX_IN_PROGRESS', 1):
+            kit.send(plane, 1)
+            self.assertEqual([101], kit.codes(kit.send(plane, 2)))
+
     def test_waiting_requests_are_refused_when_no_server_is_left(self):
         health = kit.FixedHealth()
         plane = kit.make_plane(health=health)
