Report verdicts of one fault together

Cause: after the loss of half of 488 backend servers a node sent 3,385 bytes/s for 20 s, most of it one report for each verdict.

Change: at most one round of reports a second; the first goes out at once.

--- a/src/currantshore/internal/health.py
+++ b/src/currantshore/internal/health.py
@@ -34,6 +34,8 @@
 
 _REPEAT_FANOUT: Final = 4
 _MAX_FULL_MESH_PEERS: Final = 7
+# Verdicts of one fault come close together and share datagrams.
+_REPORT_INTERVAL_S: Final = 1.0
 # Makes good lost reports. Each peer of 64 hears it every 80 s, which costs a
 # prober less than 100 bytes a second while a backend server is down.
 _REPEAT_INTERVAL_S: Final = 5.0
@@ -63,6 +65,7 @@
         '_probers',
         '_probe_id',
         '_repeat_s',
+        '_report_s',
         '_reports',
         '_returning',
         '_rng',
@@ -118,6 +121,7 @@
         self._votes = Votes()
         self._probe_id = 0
         self._repeat_s = 0.0
+        self._report_s = 0.0
         self._judge_s = 0.0
         self._is_judging_due = False
         self._expire_s = 0.0
@@ -444,8 +448,11 @@
         if self._suspicion.is_active:
             return []
         actions: list[Action] = []
-        changed = self._reports.take_changed(self._down_here(), now_s)
+        changed: Mapping[str, bool] = {}
+        if now_s >= self._report_s:
+            changed = self._reports.take_changed(self._down_here(), now_s)
         if changed:
+            self._report_s = now_s + _REPORT_INTERVAL_S
             actions.extend(self._send_reports(changed, sorted(self._peers())))
         if self._newcomers:
             held = self._reports.lasting(now_s)
