--- a/tests/cover/test_executor.py
+++ b/tests/cover/test_executor.py
@@ -64,6 +64,17 @@
                 )
                 self.assertEqual(expected, fate(actions), case.name)
 
+    def test_a_substitute_never_says_that_a_request_was_not_run(self):
+        token = kit.make_token('b')
+        for fields in ({'deadline_ms': 0}, {'priority_class': 'none'}):
+            actions = kit.send(
+                kit.make_plane(),
+                token=token,
+                is_repeatable=True,
+                **fields,
+            )
+            self.assertEqual([201], kit.codes(actions))
+
     def test_a_relay_is_run_by_its_executor_once(self):
         relay = kit.send(kit.make_plane('b', ('a', 'b')))[0]
         message = peerwire.unseal(relay.payload, b'key')
@@ -128,9 +139,9 @@
 
     def test_a_log_outlives_a_long_pause(self):
         kit.answer(self.plane, kit.send(self.plane))
-        for now_s in (0, 5000, 5003, 5004):
+        for now_s in (0, 5000, 5003, 10000, 10003):
             self.plane.tick(now_s)
-        self.assertEqual([], kit.runs(kit.send(self.plane, now_s=5005)))
+        self.assertEqual([], kit.runs(kit.send(self.plane, now_s=10004)))
 
     def test_a_datagram_read_after_a_long_pause_is_not_run(self):
         self.plane.tick(0)
@@ -141,6 +152,7 @@
     """Guards against promises that a paused or cut off process cannot keep."""
 
     def fill(self, plane, **fields):
+        # A copy of a request that runs already changes nothing.
         for request_id in range(1, kit.SLOTS + 1):
             kit.send(plane, request_id, deadline_ms=60000)
         return kit.send(plane, kit.SLOTS + 1, **fields)
@@ -152,6 +164,14 @@
         self.assertEqual([103], kit.codes(actions))
         self.assertEqual([], kit.runs(actions))
 
+    def test_also_when_an_answer_frees_a_slot_first(self):
+        plane = kit.make_plane()
+        sent = kit.send(plane, 1, deadline_ms=60000)
+        self.fill(plane)
+        actions = kit.answer(plane, sent, now_s=5)
+        self.assertEqual([103], kit.codes(actions))
+        self.assertEqual([], kit.runs(actions))
+
     def test_after_a_pause_a_repeatable_request_may_have_run_elsewhere(self):
         plane = kit.make_plane()
         self.fill(plane, is_repeatable=True)
@@ -185,6 +205,13 @@
         whole = b''.join(message.payload for message in kit.told(actions))
         self.assertEqual(b'\x00\x01\x02', whole)
 
+    def test_a_part_of_another_count_is_dropped(self):
+        for part, parts in ((0, 2), (1, 3), (2, 3)):
+            actions = kit.answer(self.plane, self.sent, part, parts)
+            self.assertEqual([], actions)
+        actions = kit.answer(self.plane, self.sent, 1, 2)
+        self.assertEqual(2, len(kit.told(actions)))
+
     def test_what_is_not_of_this_run_is_dropped(self):
         for wrong in (
             {'run_id': 1},
@@ -357,6 +384,14 @@
         fates = [fate(kit.send(third, number)) for number in (1, 2, 3, 4)]
         self.assertEqual([201, 103, 103, 'run'], fates)
 
+    def test_a_late_copy_is_not_passed_on_after_its_ids_were(self):
+        # It lacks what the successor has run since the first copy.
+        second = kit.make_plane('b', ('b', 'c'))
+        self.hand_over(second)
+        second.leave(0)
+        copy = RequestsHandedOver('a', 1, kit.SERVICE, self.bodies[0].body)
+        self.assertEqual([], second.on_requests_handed_over(copy, 0))
+
     def test_others_follow_the_successors_of_a_rolling_restart(self):
         plane = kit.make_plane('d', ('d',))
         for live, successors in (
