--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/.installed
 PATHS := src tests standins bench tooling
 
-.PHONY: env test lint format types style demo bench protos
+.PHONY: env test lint format types style demo protos
 
 env: $(STAMP)
 
@@ -30,7 +30,7 @@
 	$(VENV)/bin/ruff format -q $(PATHS)
 
 demo: env
-	$(PYTHON) -m standins.demo $(if $(JSON),--json,)
+	$(PYTHON) -m standins.demo $(if $(JSON),--json,) $(if $(SHORT),--short,)
 
 protos: env
 	$(PYTHON) -m tooling.generate_protos
