Let a resumed balancer without live peers drop unknown flows

After a freeze its view was empty, so it took itself for the only balancer.

Trusting the old view was ruled out: peers may have changed without it.

--- a/src/currantshore/internal/asking.py
+++ b/src/currantshore/internal/asking.py
@@ -105,11 +105,12 @@
     def _is_trusted(self, flow_key: int, now_s: float) -> bool:
         """Tell whether every balancer places the flow like this one."""
         peers = self._context.peers
-        if not peers.others:
-            return self._placer.change.is_warm
+        if not (peers.others or peers.declared):
+            return True
         if peers.is_behind or peers.is_frozen(now_s):
             return False
-        return self._placer.change.is_trusted(flow_key)
+        change = self._placer.change
+        return change.is_trusted(flow_key) if peers.others else change.is_warm
 
     def _is_able_to_decide(self, now_s: float) -> bool:
         """Tell whether this balancer can act as an owner."""
@@ -185,7 +186,8 @@
     ) -> list[Action]:
         """Place a flow that there is nobody to ask about."""
         counters = self._context.counters
-        if not self._placer.change.is_warm:
+        is_frozen = self._context.peers.is_frozen(now_s)
+        if is_frozen or not self._placer.change.is_warm:
             # Peers that this balancer has not heard of yet may know the flow.
             counters.drop(DropReason.NOT_READY)
             return []
--- a/tests/stateful/test_flows.py
+++ b/tests/stateful/test_flows.py
@@ -298,6 +298,79 @@
     ),
 )
 
+# Minimal or nearly minimal examples that the state machine found, with their
+# seed: what broke then, and the steps.
+_FOUND = (
+    (
+        'a started balancer took the first peer it met for the whole pool',
+        8142,
+        0.1,
+        (
+            ('kill', 'h0'),
+            ('start_again', 0.0),
+            ('drain_or_return', 1, (0.0, 0.6, 0.0, 2.9, 0.1)),
+            ('freeze', 'h3', 0.4),
+            ('kill', 'h4'),
+            ('start_again', 0.0),
+            ('wait', 6.0),
+        ),
+    ),
+    (
+        'a second change put off the end of a drain',
+        772,
+        0.1,
+        (
+            ('open_flows', 5),
+            ('wait', 0.05),
+            ('send_on_all_flows', 3),
+            ('drain_or_return', 2, (0.0, 1.5, 0.0, 0.6, 1.5)),
+            ('drain_or_return', 3, (2.9, 1.5, 0.6, 2.9, 0.6)),
+            ('wait', 6.0),
+        ),
+    ),
+    (
+        'a second owner placed a flow for a first owner that had been frozen',
+        1,
+        0.02,
+        (
+            ('wait', 1.0),
+            ('wait', 6.0),
+            ('send_on_all_flows', 2),
+            ('wait', 0.3),
+            ('drain_or_return', 2, (0.6, 0.6, 0.0, 2.9, 1.5)),
+            ('freeze', 'h3', 1.5),
+            ('wait', 0.05),
+            ('freeze', 'h2', 0.4),
+            ('drain_or_return', 2, (0.0, 0.1, 1.5, 1.5, 2.9)),
+            ('drain_or_return', 3, (1.5, 0.6, 0.1, 0.6, 2.9)),
+            ('wait', 1.0),
+            ('freeze', 'h3', 1.5),
+            ('freeze', 'h1', 1.5),
+            ('freeze', 'h3', 3.0),
+            ('wait', 6.0),
+        ),
+    ),
+    (
+        'a resumed balancer saw no peer and placed flows alone',
+        4764,
+        0.02,
+        (
+            ('drain_or_return', 1, (0.0, 0.1, 2.9, 1.5, 0.0)),
+            ('drain_or_return', 3, (0.1, 0.0, 0.0, 0.1, 0.1)),
+            ('freeze', 'h4', 1.5),
+            ('wait', 0.3),
+            ('open_flows', 7),
+            ('freeze', 'h4', 0.4),
+            ('freeze', 'h0', 3.0),
+            ('kill', 'h2'),
+            ('wait', 1.0),
+            ('open_flows', 7),
+            ('send_on_all_flows', 4),
+            ('wait', 2.2),
+        ),
+    ),
+)
+
 
 class FaultTests(testtools.TestCase):
     """Guards against the faults in the table, each with several seeds."""
@@ -307,6 +380,10 @@
             for seed in range(4):
                 self.play(f'{name}, seed {seed}', seed, loss, steps)
 
+    def test_examples_of_the_state_machine_pass(self):
+        for name, seed, loss, steps in _FOUND:
+            self.play(name, seed, loss, steps)
+
     def play(self, label, seed, loss, steps):
         machine = FlowMachine()
         machine.start(seed, loss)
