Build the context of a flow plane in from_config

The constructor repeated the seven arguments of from_config.

Keeping both was ruled out: they had to be changed together.

The constructor takes the context; an empty host id is refused.

The file is shorter.

--- a/src/currantshore/internal/flowplane.py
+++ b/src/currantshore/internal/flowplane.py
@@ -3,6 +3,7 @@
 import random
 
 from currantshore.codes import DropReason, ResultCode, RetryReason
+from currantshore.errors import InvalidArgumentError
 from currantshore.internal.addressing import PlaneContext
 from currantshore.internal.counters import Count, Counters
 from currantshore.internal.events import (
@@ -62,30 +63,18 @@
 
     def __init__(
         self,
-        host_id: str,
-        counters: Counters,
+        context: PlaneContext,
         sealer: TokenSealer,
-        peer_key: bytes,
         incarnation: int,
-        health: BackendHealth,
-        rng: random.Random,
     ) -> None:
         """Use ``from_config``."""
+        self._context = context
+        self._peers = context.peers
+        self._is_usable = context.health.is_usable
+        self._sealer = sealer
+        self._incarnation = incarnation
         # Counted here and added to the counters by each tick.
         self._forwarded = 0
-        self._incarnation = incarnation
-        self._is_usable = health.is_usable
-        self._sealer = sealer
-        self._peers = Peers(host_id)
-        self._context = PlaneContext(
-            host_id,
-            peer_key,
-            counters,
-            self._peers,
-            HandoverLedger(),
-            health,
-            rng,
-        )
         self._services: dict[str, ServiceFlows] = {}
         # Handovers of services that this balancer does not know yet.
         self._early: list[FlowsHandedOver] = []
@@ -102,15 +91,22 @@
         rng: random.Random,
     ) -> 'FlowPlane':
         """Build the part for one process; it holds no configuration yet."""
-        return cls(
+        if not host_id:
+            raise InvalidArgumentError.from_value(
+                'host_id',
+                host_id,
+                'the id of a host of the pool',
+            )
+        context = PlaneContext(
             host_id,
-            counters,
-            sealer,
             peer_key,
-            incarnation,
+            counters,
+            Peers(host_id),
+            HandoverLedger(),
             health,
             rng,
         )
+        return cls(context, sealer, incarnation)
 
     def configure(self, pool: PoolSnapshot, now_s: float) -> list[Action]:
         """Take over newer configuration and prepare its changes.
