--- a/src/currantshore/internal/addressing.py
+++ b/src/currantshore/internal/addressing.py
@@ -11,7 +11,7 @@
 from currantshore.internal.counters import Counters
 from currantshore.internal.exceptions import as_arrays, pack, unpack
 from currantshore.internal.handovers import Handover, HandoverLedger
-from currantshore.internal.peers import PeerChange, Peers
+from currantshore.internal.flowpeers import PeerChange, Peers
 from currantshore.internal.placement import Mask, Numbers, Slots
 from currantshore.internal.views import BackendHealth
 
--- a/src/currantshore/internal/answercache.py
+++ b/src/currantshore/internal/answercache.py
@@ -1,4 +1,4 @@
-"""Final outcomes that an executor keeps to repeat them for re-sent requests."""
+"""Final outcomes, and the answers kept to repeat them."""
 
 import dataclasses
 from collections import OrderedDict
@@ -16,11 +16,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outcome:
-    """How a request ended: a whole answer, or a refusal with a code."""
+    """How a request ended: a whole answer, or a refusal with a code.
+
+    ``attempt`` is the caller's newest attempt when the request ended.
+    """
 
     service_id: str
     caller: wire.Endpoint
     request_id: int
+    attempt: int
     code: ResultCode
     retry_after_ms: int = 0
     run_id: int = 0
@@ -31,11 +35,16 @@
         return _ENTRY_SIZE_BYTES + sum(len(part) for part in self.parts)
 
     def to_actions(self, attempt: int) -> list[SendToCaller]:
-        """Return the datagrams that tell the caller, for its ``attempt``."""
+        """Return the datagrams that tell the caller.
+
+        ``attempt`` is that of the message that asks for the outcome; an older
+        one than the newest attempt is answered for the newest.
+        """
+        newest = max(attempt, self.attempt)
         if self.code is not ResultCode.OK:
             return [self._send(self._refusal())]
         return [
-            self._send(self._answer(attempt, index))
+            self._send(self._answer(newest, index))
             for index in range(len(self.parts))
         ]
 
@@ -61,18 +70,18 @@
 
 
 class AnswerCache:
-    """The most recent outcomes, bounded in bytes; the oldest go first."""
+    """The most recent answers, bounded in bytes; the oldest go first."""
 
     __slots__ = ('_held', '_limit_bytes', '_size_bytes')
 
     def __init__(self, limit_bytes: int = MAX_CACHE_SIZE_BYTES) -> None:
-        """Hold outcomes of at most ``limit_bytes`` together."""
+        """Hold answers of at most ``limit_bytes`` together."""
         self._limit_bytes = limit_bytes
         self._size_bytes = 0
         self._held: OrderedDict[tuple[int, int], Outcome] = OrderedDict()
 
     def put(self, flow_key: int, outcome: Outcome) -> None:
-        """Keep the first outcome of a request, never a second one."""
+        """Keep the first answer to a request, never a second one."""
         key = (flow_key, outcome.request_id)
         if key in self._held or outcome.size_bytes() > self._limit_bytes:
             return
@@ -88,7 +97,7 @@
         request_id: int,
         caller: wire.Endpoint,
     ) -> Outcome | None:
-        """Return the outcome if it is still held and is this caller's.
+        """Return the answer if it is still held and is this caller's.
 
         The caller is compared because two flows may share a 64-bit key.
         """
--- /dev/null
+++ b/src/currantshore/internal/capacity.py
@@ -0,0 +1,219 @@
+"""Which backend servers of a service may get a run now."""
+
+import enum
+from collections import Counter
+from collections.abc import Iterator, Mapping
+from typing import Final
+
+from currantshore.internal.limits import AdaptiveLimit
+from currantshore.internal.slotshares import SlotShares
+from currantshore.internal.snapshot import BackendServer
+from currantshore.internal.views import BackendHealth
+
+# Limits move by less than a slot in this time.
+_COUNT_INTERVAL_S: Final = 0.05
+
+_NONE_TRIED: Final[frozenset[str]] = frozenset()
+
+
+@enum.unique
+class AdmissionMode(enum.Enum):
+    """How much a balancer limits itself; all but the first are baselines."""
+
+    FAIR_SHARES = enum.auto()
+    WEIGHTED_SHARES = enum.auto()
+    EQUAL_SHARES = enum.auto()
+    LIMITS_ONLY = enum.auto()
+    UNLIMITED = enum.auto()
+
+
+class Capacity:
+    """Slot shares, adaptive limits and health of one service's servers."""
+
+    __slots__ = (
+        '_backends',
+        '_counted_s',
+        '_demands',
+        '_health',
+        '_limits',
+        '_mode',
+        '_outstanding',
+        '_shares',
+        '_slot_count',
+    )
+
+    def __init__(
+        self,
+        host_id: str,
+        health: BackendHealth,
+        mode: AdmissionMode,
+    ) -> None:
+        """Start without backend servers, as the only balancer."""
+        self._health = health
+        self._mode = mode
+        self._backends: tuple[BackendServer, ...] = ()
+        self._demands: Mapping[str, int] = {host_id: 0}
+        self._limits: dict[str, AdaptiveLimit] = {}
+        self._outstanding: Counter[str] = Counter()
+        self._shares = SlotShares(host_id)
+        self._slot_count = 0
+        self._counted_s = float('-inf')
+
+    @property
+    def outstanding(self) -> int:
+        """Runs that are out, on any backend server of the service."""
+        return self._outstanding.total()
+
+    def configure(
+        self,
+        backends: tuple[BackendServer, ...],
+        now_s: float,
+    ) -> None:
+        """Send new runs only to ``backends``."""
+        self._backends = backends
+        held = self._limits
+        self._limits = {}
+        for backend in backends:
+            limit = held.get(backend.backend_id)
+            if limit is None:
+                limit = AdaptiveLimit(backend.slot_count)
+            limit.cap(backend.slot_count)
+            self._limits[backend.backend_id] = limit
+        self._share(now_s)
+
+    def on_demands(self, demands: Mapping[str, int], now_s: float) -> None:
+        """Use the demand of each live balancer, this one included."""
+        if demands != self._demands:
+            self._demands = demands
+            self._share(now_s)
+
+    def is_usable(self, backend_id: str) -> bool:
+        """Tell whether the health verdict is good."""
+        return self._health.is_usable(backend_id)
+
+    def has_usable(self, tried: frozenset[str] = _NONE_TRIED) -> bool:
+        """Tell whether a backend server outside ``tried`` takes runs."""
+        return any(True for _ in self._usable(tried))
+
+    def slot_count(self, now_s: float) -> int:
+        """Return the runs that this balancer may have out, at least 1."""
+        if now_s - self._counted_s >= _COUNT_INTERVAL_S:
+            self._counted_s = now_s
+            self._slot_count = sum(
+                self._allowance(backend, now_s)
+                for backend in self._usable(_NONE_TRIED)
+            )
+        return max(1, self._slot_count)
+
+    def has_room(self, now_s: float) -> bool:
+        """Tell whether some backend server has a free slot."""
+        for backend in self._ready(_NONE_TRIED, now_s):
+            if not self.outstanding or self._free(backend, now_s) > 0:
+                return True
+        return False
+
+    def pick(
+        self,
+        preferred: str,
+        tried: frozenset[str],
+        now_s: float,
+    ) -> BackendServer | None:
+        """Choose a server with a free slot, ``preferred`` if possible."""
+        ready = list(self._ready(tried, now_s))
+        free = {
+            backend.backend_id: self._free(backend, now_s) for backend in ready
+        }
+        # A balancer without a share still has one request outstanding, so
+        # that a service never stops at a host that lost every slot draw.
+        if self.outstanding or max(free.values(), default=0) > 0:
+            ready = [each for each in ready if free[each.backend_id] > 0]
+        for backend in ready:
+            if backend.backend_id == preferred:
+                return backend
+        return max(
+            ready,
+            key=lambda each: free[each.backend_id],
+            default=None,
+        )
+
+    def take(self, backend_id: str) -> None:
+        """Count a run as out."""
+        self._outstanding[backend_id] += 1
+
+    def release(self, backend_id: str) -> None:
+        """Count a run as ended, however it ended."""
+        self._outstanding[backend_id] -= 1
+        if not self._outstanding[backend_id]:
+            self._outstanding.pop(backend_id)
+
+    def on_success(self, backend_id: str, now_s: float) -> None:
+        """Note a whole answer."""
+        self._health.record_success(backend_id, now_s)
+        if self._adapts() and backend_id in self._limits:
+            self._limits[backend_id].on_success()
+
+    def on_shed(
+        self,
+        backend_id: str,
+        retry_after_s: float,
+        now_s: float,
+    ) -> None:
+        """Note a run that the server did not start."""
+        if self._adapts() and backend_id in self._limits:
+            self._limits[backend_id].on_shed(now_s, retry_after_s)
+
+    def on_timeout(self, backend_id: str, now_s: float) -> None:
+        """Note a run without a whole answer in time."""
+        self._health.record_failure(backend_id, now_s)
+        if self._adapts() and backend_id in self._limits:
+            self._limits[backend_id].on_timeout(now_s)
+
+    def _adapts(self) -> bool:
+        return self._mode in {
+            AdmissionMode.FAIR_SHARES,
+            AdmissionMode.WEIGHTED_SHARES,
+            AdmissionMode.LIMITS_ONLY,
+        }
+
+    def _share(self, now_s: float) -> None:
+        self._counted_s = float('-inf')
+        shares = self._shares
+        match self._mode:
+            case AdmissionMode.EQUAL_SHARES:
+                shares.update_equally(self._backends, self._demands, now_s)
+            case AdmissionMode.WEIGHTED_SHARES:
+                shares.update_weighted(self._backends, self._demands, now_s)
+            case _:
+                shares.update(self._backends, self._demands, now_s)
+
+    def _usable(self, tried: frozenset[str]) -> Iterator[BackendServer]:
+        return (
+            backend
+            for backend in self._backends
+            if backend.backend_id not in tried
+            and self._health.is_usable(backend.backend_id)
+        )
+
+    def _ready(
+        self,
+        tried: frozenset[str],
+        now_s: float,
+    ) -> Iterator[BackendServer]:
+        return (
+            backend
+            for backend in self._usable(tried)
+            if not self._limits[backend.backend_id].is_paused(now_s)
+        )
+
+    def _allowance(self, backend: BackendServer, now_s: float) -> int:
+        ratio = self._health.weight_ratio(backend.backend_id)
+        allowed = self._limits[backend.backend_id].allowed(ratio)
+        if self._mode is AdmissionMode.LIMITS_ONLY:
+            return allowed
+        return min(allowed, self._shares.share(backend.backend_id, now_s))
+
+    def _free(self, backend: BackendServer, now_s: float) -> int:
+        if self._mode is AdmissionMode.UNLIMITED:
+            return 1
+        taken = self._outstanding[backend.backend_id]
+        return self._allowance(backend, now_s) - taken
--- a/src/currantshore/internal/change.py
+++ b/src/currantshore/internal/change.py
@@ -11,7 +11,7 @@
 
 import numpy as np
 
-from currantshore.internal.peers import Peers
+from currantshore.internal.flowpeers import Peers
 from currantshore.internal.placement import Mask, PlacementTable
 from currantshore.internal.snapshot import ServiceSnapshot
 
--- a/src/currantshore/internal/flowplane.py
+++ b/src/currantshore/internal/flowplane.py
@@ -20,12 +20,13 @@
 )
 from currantshore.internal.handovers import HandoverLedger
 from currantshore.internal.hashing import flow_key as key_of
-from currantshore.internal.peers import Peers
+from currantshore.internal.flowpeers import Peers
 from currantshore.internal.peerwire import Lookup, LookupReply
 from currantshore.internal.placement import NO_SLOT
 from currantshore.internal.snapshot import PoolSnapshot
 from currantshore.internal.tokens import FlowToken, TokenSealer
 from currantshore.internal.tracking import ServiceFlows
+from currantshore.internal.turns import Turns
 from currantshore.internal.views import BackendHealth, LiveView
 from currantshore.wire import (
     Data,
@@ -59,6 +60,7 @@
         '_peers',
         '_sealer',
         '_services',
+        '_turns',
     )
 
     def __init__(
@@ -76,6 +78,7 @@
         # Counted here and added to the counters by each tick.
         self._forwarded = 0
         self._services: dict[str, ServiceFlows] = {}
+        self._turns = Turns()
         # Handovers of services that this balancer does not know yet.
         self._early: list[FlowsHandedOver] = []
 
@@ -154,13 +157,20 @@
         flow_key: int,
         first_request_id: int,
         now_s: float,
+        previous: FlowToken | None = None,
     ) -> list[Action]:
-        """Answer ``Open`` with a token for the least loaded backend server."""
+        """Answer ``Open`` with a token.
+
+        A flow that is opened again keeps the backend server of its
+        ``previous`` token; a new one gets the least loaded.
+        """
         flows = self._services.get(service_id)
         if flows is None:
             return self._drop(DropReason.UNKNOWN_SERVICE)
         placer = flows.placer
         slot = placer.find(flow_key)
+        if previous is not None:
+            slot = placer.backends.number(previous.backend_id)
         if not placer.backends.is_usable(slot):
             slot = placer.least_loaded()
         if slot == NO_SLOT:
@@ -295,11 +305,23 @@
 
     def is_prepared(self) -> bool:
         """Tell whether all handovers of the last change were acknowledged."""
-        return all(
-            flows.placer.sharing.is_prepared()
+        if self._context.ledger.is_any_blocking():
+            return False
+        return not any(
+            flows.placer.sharing.has_waiting
             for flows in self._services.values()
         )
 
+    def use_incarnation(self, incarnation: int) -> None:
+        """Name ``incarnation`` as the executor in new tokens."""
+        self._incarnation = incarnation
+
+    def is_warm(self) -> bool:
+        """Tell whether this balancer can place flows as an owner."""
+        return all(
+            flows.placer.change.is_warm for flows in self._services.values()
+        )
+
     def tick(self, now_s: float) -> list[Action]:
         """Expire flows, retry and go on with changes; called every 50 ms."""
         self._peers.note_tick(now_s)
@@ -307,7 +329,7 @@
         self._forwarded = 0
         actions: list[Action] = []
         actions.extend(self._context.ledger.retries(now_s))
-        for flows in self._services.values():
+        for flows in self._turns.pick(self._services.values(), _is_busy):
             actions.extend(flows.tick(now_s))
         return actions
 
@@ -350,3 +372,7 @@
     def _drop(self, reason: DropReason) -> list[Action]:
         self._context.counters.drop(reason)
         return []
+
+
+def _is_busy(flows: ServiceFlows) -> bool:
+    return flows.is_busy()
--- a/src/currantshore/internal/peerwire.py
+++ b/src/currantshore/internal/peerwire.py
@@ -22,7 +22,9 @@
     ``counters`` maps the 32-bit hash of a host id to the highest
     (incarnation, counter) known of it. ``configuration_digest`` is a hash of
     the versions held; ``prepared_digest`` is the digest up to which the sender
-    prepared every change and had its handovers acknowledged.
+    prepared every change and had its handovers acknowledged. ``members`` holds
+    the packed liveness of the pool (see ``internal/packing``). Without
+    ``has_demands`` the demands are those of the heartbeat before.
     """
 
     sender: str
@@ -34,6 +36,8 @@
     prepared_digest: int
     demands: dict[str, int]
     successor: str = ''
+    members: bytes = b''
+    has_demands: bool = True
 
 
 class Lookup(Message, frozen=True, array_like=True, tag='lookup'):
@@ -88,12 +92,16 @@
 class HealthReport(Message, frozen=True, array_like=True, tag='health'):
     """A verdict of one balancer about backend servers that it watches.
 
-    ``verdicts`` maps a backend id to whether it is usable.
+    ``verdicts`` maps a backend id to whether it is usable. ``service_id`` is
+    empty when they are of several services. ``incarnation`` and ``sequence``
+    order the reports of one sender.
     """
 
     sender: str
     service_id: str
     verdicts: dict[str, bool]
+    incarnation: int = 0
+    sequence: int = 0
 
 
 PeerMessage: TypeAlias = (
--- a/src/currantshore/internal/requestlog.py
+++ b/src/currantshore/internal/requestlog.py
@@ -1,15 +1,18 @@
 """Request ids that an executor has seen, bounded for each flow."""
 
 import enum
+import heapq
 from collections.abc import Mapping
 from typing import Final
 
 from currantshore.codes import ResultCode
 
 # A caller with more requests than this between two re-sends of one request
-# learns "too old" for it; the bound keeps a flow below about 100 KB.
+# learns "too old" for it; the bound keeps a flow at about 110 KB.
 MAX_IDS_ABOVE_FLOOR: Final = 1024
 
+_DROPPED_PART: Final = 16
+
 
 @enum.unique
 class IdState(enum.Enum):
@@ -28,7 +31,7 @@
     outcome was not a refusal before the run.
     """
 
-    __slots__ = ('_codes', '_floor', 'touched_s')
+    __slots__ = ('_codes', '_floor')
 
     def __init__(
         self,
@@ -38,7 +41,6 @@
         """Start with every id below ``floor`` counted as used."""
         self._floor = floor
         self._codes = dict(codes or {})
-        self.touched_s = 0.0
 
     @property
     def floor(self) -> int:
@@ -66,15 +68,22 @@
         self,
         request_id: int,
         code: ResultCode = ResultCode.OUTCOME_UNKNOWN,
+        limit: int = MAX_IDS_ABOVE_FLOOR,
     ) -> None:
-        """Record that ``request_id`` is used and what became of it."""
+        """Record that ``request_id`` is used and what became of it.
+
+        Above ``limit`` ids, the lowest go and the floor rises.
+        """
         if request_id < self._floor and request_id not in self._codes:
             return
         self._codes[request_id] = code
-        while len(self._codes) > MAX_IDS_ABOVE_FLOOR:
-            lowest = min(self._codes)
-            self._codes.pop(lowest)
-            self._floor = lowest + 1
+        if len(self._codes) > limit:
+            # Finding the lowest ids takes a scan, so several go at a time.
+            kept = limit - limit // _DROPPED_PART
+            dropped = len(self._codes) - kept
+            for lowest in heapq.nsmallest(dropped, self._codes):
+                self._codes.pop(lowest)
+                self._floor = lowest + 1
 
     def merge(self, floor: int, codes: Mapping[int, ResultCode]) -> None:
         """Add the ids of another executor's log of the same flow."""
--- a/src/currantshore/internal/sharing.py
+++ b/src/currantshore/internal/sharing.py
@@ -19,7 +19,7 @@
 )
 from currantshore.internal.flowtable import FlowTable, entry_of
 from currantshore.internal.handovers import Handover
-from currantshore.internal.peers import PeerChange
+from currantshore.internal.flowpeers import PeerChange
 
 # Groups late exceptions; a killed balancer loses those of this time.
 _FLUSH_INTERVAL_S: Final = 0.25
@@ -78,6 +78,11 @@
         self._waiting: list[Handover] = []
         self._continue_at_s = float('-inf')
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether second owners have not been sent their exceptions."""
+        return bool(self._waiting)
+
     def is_prepared(self) -> bool:
         """Tell whether the owners have acknowledged all exceptions."""
         if self._waiting:
