--- a/src/currantshore/internal/admission.py
+++ b/src/currantshore/internal/admission.py
@@ -19,7 +19,7 @@
 
 # Requests that come at random and have deadlines need more than their mean
 # slot time; see docs/measurements/overload.md.
-_SHARE_SLACK: Final = 1.2
+_SHARE_SLACK: Final = 1.3
 
 # Charged for a run while the class has no mean run time yet.
 _FIRST_RUN_S: Final = 0.02
@@ -56,6 +56,13 @@
         self._total_s = 0.0
         self._slack = 1.0
 
+    def __bool__(self) -> bool:
+        """Tell whether any request waits."""
+        for queue in self._classes.values():
+            if queue.size:
+                return True
+        return False
+
     def __len__(self) -> int:
         """Count the waiting requests."""
         return sum(queue.size for queue in self._classes.values())
--- a/src/currantshore/internal/flowpeers.py
+++ b/src/currantshore/internal/flowpeers.py
@@ -34,6 +34,7 @@
     departed: frozenset[str]
     former_owners: Owners
     is_owner_change: bool
+    has_lost_owner: bool
 
     def is_empty(self) -> bool:
         """Tell whether the hosts and their incarnations are the same."""
@@ -59,8 +60,8 @@
         '_is_leaving',
         '_last_tick_s',
         '_since',
+        'declared',
         'deciders',
-        'has_declared',
         'is_behind',
         'others',
         'owners',
@@ -79,8 +80,8 @@
         self.others: frozenset[str] = frozenset()
         self.unprepared: frozenset[str] = frozenset()
         self.is_behind = False
-        # Whether the configuration names other hosts of the pool.
-        self.has_declared = False
+        # The other hosts that the configuration names.
+        self.declared: frozenset[str] = frozenset()
         # Counts live views; a change commits only on one that came after it.
         self.updates = 0
         self._is_leaving = False
@@ -118,6 +119,10 @@
             is_owner_change=(
                 has_restarted_owner or former.hosts != self.owners.hosts
             ),
+            has_lost_owner=(
+                has_restarted_owner
+                or not set(former.hosts).issubset(self.owners.hosts)
+            ),
         )
 
     def leave(self) -> PeerChange:
@@ -125,7 +130,8 @@
         former = self.owners
         self._is_leaving = True
         self._rank(list(former.hosts))
-        return PeerChange(frozenset(), frozenset(), former, True)
+        nobody: frozenset[str] = frozenset()
+        return PeerChange(nobody, nobody, former, True, True)
 
     def elders(self, now_s: float) -> Owners:
         """Rank the owners that have been live long enough to know all."""
@@ -136,6 +142,10 @@
             or now_s - self._since[host][1] >= _ELDER_AFTER_S
         )
 
+    def has_met_all(self) -> bool:
+        """Tell whether every declared host is in the live view."""
+        return self.declared <= self.others
+
     def note_tick(self, now_s: float) -> None:
         """Detect that this process did not run for a while."""
         if self._has_gap(now_s):
--- a/src/currantshore/internal/flowplane.py
+++ b/src/currantshore/internal/flowplane.py
@@ -9,9 +9,14 @@
     Action,
     FlowsHandedOver,
     HandoverFinished,
+    SendToBackend,
     SendToCaller,
 )
-from currantshore.internal.flowtable import entry_of, is_framed, slot_of
+from currantshore.internal.flowtable import (
+    FINGERPRINT_MASK,
+    entry_of,
+    is_framed,
+)
 from currantshore.internal.handovers import HandoverLedger
 from currantshore.internal.hashing import flow_key as key_of
 from currantshore.internal.flowpeers import Peers
@@ -20,11 +25,13 @@
 from currantshore.internal.snapshot import PoolSnapshot
 from currantshore.internal.tokens import FlowToken, TokenSealer
 from currantshore.internal.tracking import ServiceFlows
+from currantshore.internal.turns import Turns
 from currantshore.internal.views import BackendHealth, LiveView
 from currantshore.wire import (
     Data,
     Downstream,
     Endpoint,
+    Forwarded,
     Opened,
     encode,
 )
@@ -46,10 +53,13 @@
     __slots__ = (
         '_context',
         '_early',
+        '_forwarded',
         '_incarnation',
+        '_is_usable',
         '_peers',
         '_sealer',
         '_services',
+        '_turns',
     )
 
     def __init__(
@@ -63,7 +73,10 @@
         rng: random.Random,
     ) -> None:
         """Use ``from_config``."""
+        # Counted here and added to the counters by each tick.
+        self._forwarded = 0
         self._incarnation = incarnation
+        self._is_usable = health.is_usable
         self._sealer = sealer
         self._peers = Peers(host_id)
         self._context = PlaneContext(
@@ -76,6 +89,7 @@
             rng,
         )
         self._services: dict[str, ServiceFlows] = {}
+        self._turns = Turns()
         # Handovers of services that this balancer does not know yet.
         self._early: list[FlowsHandedOver] = []
 
@@ -107,11 +121,10 @@
         The next ``on_live_view`` must carry the digest of ``pool``.
         """
         is_start = not self._services
-        self._peers.has_declared = any(
-            host.host_id != self._context.host_id for host in pool.members.hosts
-        )
+        hosts = {host.host_id for host in pool.members.hosts}
+        self._peers.declared = frozenset(hosts - {self._context.host_id})
         is_known_by_peers = self._peers.is_behind or (
-            is_start and self._peers.has_declared
+            is_start and bool(self._peers.declared)
         )
         actions: list[Action] = []
         for service in pool.services:
@@ -194,12 +207,15 @@
             return self._drop(DropReason.UNKNOWN_SERVICE)
         if token is not None:
             return self._on_token(flows, caller, flow_key, payload, token)
+        # The path of most packets, without calls into the other modules.
         placer = flows.placer
-        entry = placer.known.find(flow_key)
+        entry = placer.known.current.get(flow_key & FINGERPRINT_MASK)
         if entry is not None:
-            slot = slot_of(entry)
-            if placer.backends.is_usable(slot):
-                return placer.forward(slot, caller, payload)
+            route = placer.backends.routes[entry >> 1]
+            if route is not None and self._is_usable(route[0]):
+                self._forwarded += 1
+                order = Forwarded(service_id, caller, payload)
+                return [SendToBackend(route[1], encode(order))]
         return flows.on_unknown(caller, flow_key, payload, now_s)
 
     def on_close(self, service_id: str, flow_key: int) -> list[Action]:
@@ -293,8 +309,10 @@
 
     def is_prepared(self) -> bool:
         """Tell whether all handovers of the last change were acknowledged."""
-        return all(
-            flows.placer.sharing.is_prepared()
+        if self._context.ledger.is_any_blocking():
+            return False
+        return not any(
+            flows.placer.sharing.has_waiting
             for flows in self._services.values()
         )
 
@@ -311,9 +329,11 @@
     def tick(self, now_s: float) -> list[Action]:
         """Expire flows, retry and go on with changes; called every 50 ms."""
         self._peers.note_tick(now_s)
+        self._context.counters.count(Count.PACKETS_FORWARDED, self._forwarded)
+        self._forwarded = 0
         actions: list[Action] = []
         actions.extend(self._context.ledger.retries(now_s))
-        for flows in self._services.values():
+        for flows in self._turns.pick(self._services.values(), _is_busy):
             actions.extend(flows.tick(now_s))
         return actions
 
@@ -356,3 +376,7 @@
     def _drop(self, reason: DropReason) -> list[Action]:
         self._context.counters.drop(reason)
         return []
+
+
+def _is_busy(flows: ServiceFlows) -> bool:
+    return flows.is_busy()
--- a/tests/cover/test_executor.py
+++ b/tests/cover/test_executor.py
@@ -8,7 +8,7 @@
 
 from currantshore import wire
 from currantshore.codes import ResultCode
-from currantshore.internal import peerwire, requestlogs
+from currantshore.internal import executor, peerwire, requestlogs
 from currantshore.internal.answercache import AnswerCache
 from currantshore.internal.events import RequestsHandedOver, SendToPeer
 from currantshore.internal.retrybudget import RetryBudget
@@ -21,7 +21,7 @@
     """What happens to a request at host ``a``, incarnation 1."""
 
     name: str
-    executor: str
+    executor_id: str
     incarnation: int
     live: dict
     when_not_repeatable: object
@@ -59,7 +59,7 @@
                 plane.on_live_view(kit.make_view('a', case.live), 0)
                 actions = kit.send(
                     plane,
-                    token=kit.make_token(case.executor, case.incarnation),
+                    token=kit.make_token(case.executor_id, case.incarnation),
                     is_repeatable=repeatable,
                 )
                 self.assertEqual(expected, fate(actions), case.name)
@@ -137,6 +137,13 @@
             actions = kit.send(self.plane, deadline_ms=0)
         self.assertEqual([201], kit.codes(actions))
 
+    def test_many_ids_in_all_logs_shorten_each_log(self):
+        with mock.patch.object(requestlogs, 'MAX_IDS', 20):
+            for request_id in range(1, 30):
+                kit.send(self.plane, request_id, deadline_ms=0)
+            self.assertEqual([203], kit.codes(kit.send(self.plane, 1)))
+            self.assertEqual([103], kit.codes(kit.send(self.plane, 29)))
+
     def test_a_log_outlives_a_long_pause(self):
         kit.answer(self.plane, kit.send(self.plane))
         for now_s in (0, 5000, 5003, 10000, 10003):
@@ -438,6 +445,12 @@
         actions = kit.send(kit.make_plane(health=health))
         self.assertEqual([104], kit.codes(actions))
 
+    def test_requests_of_all_services_together_are_bounded(self):
+        plane = kit.make_plane()
+        with mock.patch.object(executor, 'MAX_IN_PROGRESS', 1):
+            kit.send(plane, 1)
+            self.assertEqual([101], kit.codes(kit.send(plane, 2)))
+
     def test_waiting_requests_are_refused_when_no_server_is_left(self):
         health = kit.FixedHealth()
         plane = kit.make_plane(health=health)
