Report status by the shared record; leave when marked as leaving

Ruled out: HostStatus in internal/status, which would make the core import the HTTP client. Change: status/POOL_ID as the key, encode_status, the version of the last write remembered, operators' variables accepted, a balancer that is marked as leaving stops gracefully.

--- a/bench/operators.py
+++ b/bench/operators.py
@@ -35,6 +35,7 @@
 from currantshore.internal.platform import PlatformClient
 from currantshore.internal.snapshot import (
     BackendServer,
+    HostStatus,
     PoolHost,
     PoolMembers,
     PoolSnapshot,
@@ -43,7 +44,7 @@
     pool_key,
     service_key,
 )
-from currantshore.internal.status import HostStatus, encode_status
+from currantshore.internal.status import encode_status
 from currantshore.wire import Endpoint
 from standins.platform import Faults, PlatformStandin
 
--- a/src/currantshore/core.py
+++ b/src/currantshore/core.py
@@ -20,7 +20,11 @@
 )
 from currantshore.internal.fabricintake import FabricIntake
 from currantshore.internal.parts import CoreConfig, CoreParts
-from currantshore.internal.snapshot import PoolSnapshot
+from currantshore.internal.snapshot import (
+    HostState,
+    HostStatus,
+    PoolSnapshot,
+)
 
 __all__ = ('BalancerCore', 'CoreConfig')
 
@@ -31,8 +35,6 @@
 _DEMANDS_INTERVAL_S: Final = 0.25
 
 _Actions: TypeAlias = list[Action]
-_Versions: TypeAlias = dict[str, int]
-_HostVersions: TypeAlias = dict[str, dict[str, _Versions]]
 
 
 class BalancerCore:
@@ -115,7 +117,7 @@
         """Tell whether this host writes the pool's status object."""
         return self._parts.membership.reporter() == self._config.host_id
 
-    def status_report(self) -> _HostVersions:
+    def status_report(self) -> dict[str, HostStatus]:
         """Return the versions in force on each live host, by host id.
 
         A host that has not yet prepared the configuration held here is listed
@@ -124,14 +126,24 @@
         held = {} if self._pool is None else self._pool.versions()
         view = self._parts.membership.view()
         return {
-            peer.host_id: {
-                'versions': held
+            peer.host_id: HostStatus(
+                held
                 if peer.prepared_digest == view.configuration_digest
                 else {},
-            }
+            )
             for peer in view.peers.values()
         }
 
+    def is_declared_leaving(self) -> bool:
+        """Tell whether this host is marked as leaving in the configuration."""
+        if self._pool is None:
+            return False
+        return any(
+            host.host_id == self._config.host_id
+            and host.state is HostState.LEAVING
+            for host in self._pool.members.hosts
+        )
+
     def handle(self, event: Event, now_s: float) -> _Actions:
         """Return the actions that answer ``event`` at ``now_s``."""
         match event:
--- a/src/currantshore/internal/balancer.py
+++ b/src/currantshore/internal/balancer.py
@@ -200,6 +200,8 @@
             ],
         )
         self._log.info('configured', versions=pool.versions())
+        if self._core.is_declared_leaving():
+            self.request_stop()
 
     def _open_service(self, service_id: str, address: Endpoint) -> None:
         try:
--- a/src/currantshore/internal/following.py
+++ b/src/currantshore/internal/following.py
@@ -4,7 +4,6 @@
 import random
 from typing import Final
 
-import msgspec
 from circuits import Component
 
 from currantshore.core import BalancerCore
@@ -15,6 +14,7 @@
 from currantshore.internal.objects import PlatformObject
 from currantshore.internal.platform import PlatformClient
 from currantshore.internal.settings import Settings
+from currantshore.internal.status import encode_status
 
 # A waiting watch is one call; a longer wait makes fewer calls, but a watcher
 # that was replaced keeps its watch for as long.
@@ -45,6 +45,7 @@
         self._rng = random.Random(settings.seed)
         self._prefix = pool_prefix(settings.pool_id)
         self._last_status = b''
+        self._status_version = 0
         self._log = get_logger('platform')
         super().__init__()
 
@@ -108,19 +109,27 @@
         )
 
     async def _write_status(self) -> None:
-        body = msgspec.json.encode(self._core.status_report())
+        body = encode_status(self._core.status_report())
         if body == self._last_status:
             return
         key = status_key(self._settings.pool_id)
         writer = f'{self._settings.host_id}-{self._rng.getrandbits(32):08x}'
         try:
-            found = await self._client.get(key)
-            version = 0 if found is None else found.version
-            await self._client.put_if(key, body, version, writer)
+            self._status_version = await self._client.put_if(
+                key, body, self._status_version, writer
+            )
         except VersionConflictError:
-            # Two hosts took themselves for the reporter; the next write tells.
-            self._log.info('status_write_conflict')
+            # Another host was the reporter before; the next write follows it.
+            await self._read_status_version(key)
         except PlatformError as error:
             self._log.warning('status_write_failed', error=str(error))
         else:
             self._last_status = body
+
+    async def _read_status_version(self, key: str) -> None:
+        try:
+            found = await self._client.get(key)
+        except PlatformError as error:
+            self._log.warning('status_read_failed', error=str(error))
+        else:
+            self._status_version = 0 if found is None else found.version
--- a/src/currantshore/internal/records.py
+++ b/src/currantshore/internal/records.py
@@ -23,8 +23,11 @@
 
 
 def status_key(pool_id: str) -> str:
-    """Return the key of the pool's status object."""
-    return f'pools/{pool_id}/status'
+    """Return the key of the pool's status object.
+
+    It is outside of the pool's prefix, or each status would wake the watchers.
+    """
+    return f'status/{pool_id}'
 
 
 def merge_objects(
--- a/src/currantshore/internal/settings.py
+++ b/src/currantshore/internal/settings.py
@@ -17,6 +17,9 @@
 from currantshore.wire import Endpoint
 
 _PREFIX: Final = 'CURRANTSHORE_'
+
+# Settings of the operators' commands, which an operator's shell may have set.
+_OPERATORS_SETTINGS: Final = ('operator', 'timeout_s', 'address_map')
 _NAME_PATTERN: Final = re.compile(r'[a-z0-9](?:[a-z0-9-]{0,61}[a-z0-9])?')
 _HOST_PATTERN: Final = re.compile(r'[0-9A-Fa-f.:]+')
 _MAX_PORT: Final = 65535
@@ -292,7 +295,7 @@
 
 
 def _unknown_variables(environment: Mapping[str, str]) -> list[str]:
-    known = {variable_name(name) for name in SPECS}
+    known = {variable_name(name) for name in (*SPECS, *_OPERATORS_SETTINGS)}
     return [
         f'{name} is not a known variable'
         for name in sorted(environment)
--- a/src/currantshore/internal/snapshot.py
+++ b/src/currantshore/internal/snapshot.py
@@ -116,6 +116,21 @@
         return held
 
 
+class HostStatus(msgspec.Struct, frozen=True):
+    """What one live host reports.
+
+    ``versions`` holds the version in force there by object key.
+    ``draining_flows`` counts the open flows of the backend servers that are
+    draining by backend id; None when the host does not count them.
+    ``same_as`` names a host of the same status object whose versions this host
+    holds as well; ``versions`` is empty then.
+    """
+
+    versions: dict[str, int]
+    draining_flows: dict[str, int] | None = None
+    same_as: str = ''
+
+
 def pool_key(pool_id: str) -> str:
     """Return the platform's object key of a pool."""
     return f'pools/{pool_id}/members'
--- a/src/currantshore/internal/status.py
+++ b/src/currantshore/internal/status.py
@@ -19,6 +19,7 @@
 from currantshore.internal.snapshot import (
     BackendState,
     HostState,
+    HostStatus,
     PoolHost,
 )
 
@@ -26,21 +27,6 @@
 _WATCH_TIMEOUT_S: Final = 5.0
 
 
-class HostStatus(msgspec.Struct, frozen=True):
-    """What one live host reports.
-
-    ``versions`` holds the version in force there by object key.
-    ``draining_flows`` counts the open flows of the backend servers that are
-    draining by backend id; None when the host does not count them.
-    ``same_as`` names a host of the same status object whose versions this host
-    holds as well; ``versions`` is empty then.
-    """
-
-    versions: dict[str, int]
-    draining_flows: dict[str, int] | None = None
-    same_as: str = ''
-
-
 PoolStatus: TypeAlias = dict[str, HostStatus]
 _Versions: TypeAlias = frozenset[tuple[str, int]]
 
--- a/tests/cover/test_core.py
+++ b/tests/cover/test_core.py
@@ -21,6 +21,7 @@
 )
 from currantshore.internal.snapshot import (
     BackendServer,
+    HostState,
     PoolHost,
     PoolMembers,
     PoolSnapshot,
@@ -307,3 +308,26 @@
     for action in sender.tick(now_s):
         if hasattr(action, 'host_id') and hasattr(action, 'payload'):
             receiver.handle(PeerDatagram(action.payload), now_s)
+
+
+class StatusTests(testtools.TestCase):
+    """Guards against a host that serves on although it was marked to leave."""
+
+    def test_a_host_that_is_marked_as_leaving_knows_it(self):
+        core = make_core()
+        self.assertFalse(core.is_declared_leaving())
+        pool = make_pool()
+        leaving = msgspec.structs.replace(
+            pool.members.hosts[0], state=HostState.LEAVING
+        )
+        members = msgspec.structs.replace(
+            pool.members, hosts=(leaving, *pool.members.hosts[1:]), version=2
+        )
+        changed = PoolSnapshot(members, pool.services)
+        core.handle(ConfigurationChanged(changed), WARM_S)
+        self.assertTrue(core.is_declared_leaving())
+
+    def test_the_report_lists_this_host_with_its_versions(self):
+        core = make_core(hosts=HOSTS[:1])
+        report = core.status_report()
+        self.assertEqual(core.pool().versions(), report['harbor-1'].versions)
