Do not let a started or resumed balancer decide about flows alone

Two balancers that had just started asked only each other and placed flows.

A longer meeting time was ruled out: it delays the start of every pool.

Packets of unknown flows are dropped as not ready while a balancer cannot act as an owner.

--- a/src/currantshore/internal/asking.py
+++ b/src/currantshore/internal/asking.py
@@ -88,7 +88,7 @@
             # The first owner may still answer in this round.
             pending.second_answer = slot
             return []
-        return self._finish(pending, slot)
+        return self._finish(pending, slot, now_s)
 
     def tick(self, now_s: float) -> list[Action]:
         """Go on with lookups that had no answer."""
@@ -186,13 +186,10 @@
     ) -> list[Action]:
         """Place a flow that there is nobody to ask about."""
         counters = self._context.counters
-        is_frozen = self._context.peers.is_frozen(now_s)
-        if is_frozen or not self._placer.change.is_warm:
+        if not self._is_able_to_decide(now_s):
             # Peers that this balancer has not heard of yet may know the flow.
             counters.drop(DropReason.NOT_READY)
             return []
-        if not self._is_able_to_decide(now_s):
-            counters.count(Count.FLOWS_DECIDED_ALONE)
         slot = self._placer.place(flow_key)
         return self._placer.forward(slot, caller, payload)
 
@@ -231,30 +228,37 @@
         What a silent owner has placed is known to those that asked it.
         """
         if pending.second_answer is not None:
-            return self._finish(pending, pending.second_answer)
+            return self._finish(pending, pending.second_answer, now_s)
         if pending.kind is not LookupKind.POLL:
             self._context.counters.count(Count.FLOWS_DECIDED_ALONE)
             others = sorted(self._context.peers.others)
             pending.restart(others, LookupKind.POLL, now_s)
             return self._ask(pending)
-        return self._finish(pending, None)
+        return self._finish(pending, None, now_s)
 
     def _finish(
         self,
         pending: PendingLookup,
         answer: int | None,
+        now_s: float,
     ) -> list[Action]:
-        """Forward waiting packets and answer waiting peers."""
+        """Forward waiting packets and answer waiting peers.
+
+        A balancer that has just started or was frozen does not decide alone.
+        """
         flow_key = pending.flow_key
         self._lookups.finish(flow_key)
         slot = self._placer.find(flow_key)
-        if slot == NO_SLOT and answer is None:
-            slot = self._placer.place(flow_key)
-        elif slot == NO_SLOT and answer is not None:
+        if slot == NO_SLOT and answer is not None:
             slot = answer
             self._placer.remember(flow_key, slot, is_framed=False)
+        elif slot == NO_SLOT and self._is_able_to_decide(now_s):
+            slot = self._placer.place(flow_key)
         actions: list[Action] = []
         for caller, payload in pending.packets:
+            if slot == NO_SLOT:
+                self._context.counters.drop(DropReason.NOT_READY)
+                continue
             actions.extend(self._placer.forward(slot, caller, payload))
         for asker in sorted(pending.askers):
             actions.extend(self._reply(asker, flow_key, slot))
--- a/tests/stateful/test_flows.py
+++ b/tests/stateful/test_flows.py
@@ -315,6 +315,23 @@
             ('wait', 6.0),
         ),
     ),
+    (
+        'two started balancers asked only each other and placed flows',
+        355,
+        0.1,
+        (
+            ('drain_or_return', 2, (2.9, 0.1, 0.0, 2.9, 0.0)),
+            ('drain_or_return', 0, (0.1, 0.1, 2.9, 0.0, 1.5)),
+            ('wait', 0.3),
+            ('kill', 'h4'),
+            ('wait', 6.0),
+            ('start_again', 0.0),
+            ('kill', 'h3'),
+            ('start_again', 0.0),
+            ('kill', 'h1'),
+            ('send_on_all_flows', 2),
+        ),
+    ),
     (
         'a second change put off the end of a drain',
         772,
