--- a/bench/overload.py
+++ b/bench/overload.py
@@ -43,7 +43,6 @@
     PriorityClass('bulk', 2, 0.1),
 )
 _SLOTS: Final = 3
-_CALLERS_OF_CLASS: Final = 40
 
 _RUN_S: Final = 0.05
 _DELAY_S: Final = 0.002
@@ -91,6 +90,7 @@
     after_s: float
     host_count: int = 7
     server_count: int = 7
+    callers_of_class: int = 40
 
     @property
     def capacity_per_s(self) -> float:
@@ -206,7 +206,11 @@
     def run(self) -> None:
         ports = itertools.count(1)
         for name, load in _LOADS.items():
-            callers = self._make_callers(name, _CALLERS_OF_CLASS, ports)
+            callers = self._make_callers(
+                name,
+                self._scenario.callers_of_class,
+                ports,
+            )
             self._start(callers, name, load, 0, self._scenario.end_s)
         flood = self._make_callers(
             'flood',
@@ -522,8 +526,8 @@
     )
 
 
-def _scenarios(phase_s: float) -> list[_Scenario]:
-    return [
+def _scenarios(phase_s: float, callers: int) -> list[_Scenario]:
+    scenarios = [
         _Scenario('bulk_flood', 'bulk', 140, phase_s, phase_s, phase_s),
         _Scenario('urgent_flood', 'urgent', 140, phase_s, phase_s, phase_s),
         _Scenario('greedy_caller', 'normal', 1, phase_s, phase_s, phase_s),
@@ -546,6 +550,10 @@
             server_count=2,
         ),
     ]
+    return [
+        dataclasses.replace(scenario, callers_of_class=callers)
+        for scenario in scenarios
+    ]
 
 
 def main() -> None:
@@ -554,9 +562,10 @@
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--phase-s', type=float, default=6.0)
     parser.add_argument('--design', default='')
+    parser.add_argument('--callers', type=int, default=40)
     arguments = parser.parse_args()
     figures: _Json = {}
-    for scenario in _scenarios(arguments.phase_s):
+    for scenario in _scenarios(arguments.phase_s, arguments.callers):
         figures[scenario.name] = {}
         for design in _DESIGNS:
             if arguments.design not in {'', design.name}:
@@ -567,6 +576,7 @@
     inputs = {
         'seed': arguments.seed,
         'phase_s': arguments.phase_s,
+        'callers_of_class': arguments.callers,
         'slot_rate_per_s': round(_SLOT_RATE_PER_S, 2),
         'load_of_capacity': _LOADS,
         'flood_of_capacity': _FLOOD_RATIO,
