--- /dev/null
+++ b/src/currantshore/core.py
@@ -0,0 +1,215 @@
+"""The decision core: typed inputs and a time in, typed actions out."""
+
+from typing import Final, TypeAlias
+
+from currantshore.errors import InvalidArgumentError
+from currantshore.internal import configuration
+from currantshore.internal.callerintake import CallerIntake
+from currantshore.internal.counters import Count, Counters
+from currantshore.internal.events import (
+    Action,
+    BackendDatagram,
+    CallerDatagram,
+    ConfigurationChanged,
+    Event,
+    FlowsHandedOver,
+    HandoverFinished,
+    LeaveRequested,
+    PeerDatagram,
+    RequestsHandedOver,
+)
+from currantshore.internal.fabricintake import FabricIntake
+from currantshore.internal.parts import CoreConfig, CoreParts
+from currantshore.internal.snapshot import PoolSnapshot
+
+__all__ = ('BalancerCore', 'CoreConfig')
+
+_MAX_KEY_SIZE_BYTES: Final = 64
+
+# Heartbeats leave every 0.5 s; adding up the demand of all services of a pool
+# more often than twice for each of them is work for nothing.
+_DEMANDS_INTERVAL_S: Final = 0.25
+
+_Actions: TypeAlias = list[Action]
+_Versions: TypeAlias = dict[str, int]
+_HostVersions: TypeAlias = dict[str, dict[str, _Versions]]
+
+
+class BalancerCore:
+    """Decides what one balancer does with each input.
+
+    Guarantees: it never raises on bad input, does no input or output, reads no
+    clock and keeps all its randomness in one seeded generator, so a run can be
+    repeated exactly. A known flow costs one hash and one dictionary look-up.
+    """
+
+    __slots__ = (
+        '_callers',
+        '_config',
+        '_demands_due_s',
+        '_fabric',
+        '_is_leaving',
+        '_parts',
+        '_pool',
+        '_view',
+    )
+
+    def __init__(self, config: CoreConfig) -> None:
+        """Prefer ``from_config``, which checks the settings."""
+        self._config = config
+        self._parts = CoreParts(config)
+        self._callers = CallerIntake(self._parts)
+        self._fabric = FabricIntake(self._parts, self._callers, config.peer_key)
+        self._pool: PoolSnapshot | None = None
+        self._is_leaving = False
+        self._demands_due_s = float('-inf')
+        self._view = self._parts.membership.view()
+
+    @classmethod
+    def from_config(cls, config: CoreConfig) -> 'BalancerCore':
+        """Build a core; raises ``InvalidArgumentError`` on bad settings."""
+        if not config.host_id:
+            raise InvalidArgumentError.from_value(
+                'host_id', config.host_id, 'a non-empty host id'
+            )
+        if not 1 <= len(config.peer_key) <= _MAX_KEY_SIZE_BYTES:
+            raise InvalidArgumentError.from_value(
+                'peer_key size', len(config.peer_key), '1 to 64 bytes'
+            )
+        return cls(config)
+
+    @property
+    def counters(self) -> Counters:
+        """The counts of everything that this core decided."""
+        return self._parts.counters
+
+    def pool(self) -> PoolSnapshot | None:
+        """Return the configuration in force here, if any is known."""
+        return self._pool
+
+    def is_ready(self) -> bool:
+        """Tell whether the core can place flows.
+
+        A balancer that has just started is not ready before its peers have
+        told it of the flows that the hash table does not explain.
+        """
+        if self._pool is None or self._is_leaving:
+            return False
+        return self._parts.flows.is_warm()
+
+    def is_idle(self) -> bool:
+        """Tell whether a leaving core has nothing left to hand over or run."""
+        return self._parts.flows.is_idle() and self._parts.requests.is_idle()
+
+    def watches_platform(self) -> bool:
+        """Tell whether this host reads the platform for its zone.
+
+        A host without configuration always does: it knows no peers yet.
+        """
+        if self._pool is None:
+            return True
+        watchers = self._parts.membership.watchers(self._config.zone)
+        return self._config.host_id in watchers
+
+    def reports_status(self) -> bool:
+        """Tell whether this host writes the pool's status object."""
+        return self._parts.membership.reporter() == self._config.host_id
+
+    def status_report(self) -> _HostVersions:
+        """Return the versions in force on each live host, by host id.
+
+        A host that has not yet prepared the configuration held here is listed
+        with no versions.
+        """
+        held = {} if self._pool is None else self._pool.versions()
+        view = self._parts.membership.view()
+        return {
+            peer.host_id: {
+                'versions': held
+                if peer.prepared_digest == view.configuration_digest
+                else {},
+            }
+            for peer in view.peers.values()
+        }
+
+    def handle(self, event: Event, now_s: float) -> _Actions:
+        """Return the actions that answer ``event`` at ``now_s``."""
+        match event:
+            case CallerDatagram():
+                return self._callers.handle(event, now_s)
+            case BackendDatagram():
+                return self._fabric.on_backend(event, now_s)
+            case PeerDatagram():
+                return self._settle(self._fabric.on_peer(event, now_s), now_s)
+            case ConfigurationChanged():
+                return self._settle(self._configure(event.pool, now_s), now_s)
+            case FlowsHandedOver():
+                return self._parts.flows.on_flows_handed_over(event, now_s)
+            case HandoverFinished():
+                return self._parts.flows.on_handover_finished(event, now_s)
+            case RequestsHandedOver():
+                return self._parts.requests.on_requests_handed_over(
+                    event, now_s
+                )
+            case LeaveRequested():
+                return self._settle(self._leave(now_s), now_s)
+
+    def tick(self, now_s: float) -> _Actions:
+        """Run everything that is due; call it at least every 50 ms."""
+        self._publish_demands(now_s)
+        self._parts.membership.set_prepared(self._parts.flows.is_prepared())
+        self._parts.membership.set_warm(self._parts.flows.is_warm())
+        self._parts.membership.set_successor(self._parts.requests.successor)
+        actions = self._parts.membership.tick(now_s)
+        actions += self._parts.health.tick(now_s)
+        actions += self._parts.flows.tick(now_s)
+        actions += self._parts.requests.tick(now_s)
+        return self._settle(actions, now_s)
+
+    def _configure(self, pool: PoolSnapshot, now_s: float) -> _Actions:
+        if self._is_other_pool(pool):
+            return []
+        merged = configuration.merge(self._pool, pool)
+        if merged is self._pool:
+            return []
+        self._pool = merged
+        self._callers.use_services(
+            frozenset(service.service_id for service in merged.services),
+        )
+        self._parts.counters.count(Count.CONFIGURATION_CHANGES)
+        actions = self._parts.membership.configure(merged, now_s)
+        actions += self._parts.health.configure(merged, now_s)
+        actions += self._parts.flows.configure(merged, now_s)
+        actions += self._parts.requests.configure(merged, now_s)
+        return actions
+
+    def _is_other_pool(self, pool: PoolSnapshot) -> bool:
+        held = self._pool
+        if held is None:
+            return False
+        return held.members.pool_id != pool.members.pool_id
+
+    def _leave(self, now_s: float) -> _Actions:
+        if self._is_leaving:
+            return []
+        self._is_leaving = True
+        actions = self._parts.membership.leave(now_s)
+        actions += self._parts.requests.leave(now_s)
+        actions += self._parts.flows.leave(now_s)
+        return actions
+
+    def _publish_demands(self, now_s: float) -> None:
+        if now_s >= self._demands_due_s:
+            self._demands_due_s = now_s + _DEMANDS_INTERVAL_S
+            demands = self._parts.requests.demands()
+            self._parts.membership.set_demands(demands)
+
+    def _settle(self, actions: _Actions, now_s: float) -> _Actions:
+        view = self._parts.membership.view()
+        if view is not self._view:
+            self._view = view
+            self._parts.follow_incarnation(self._pool, now_s)
+            actions += self._parts.health.on_live_view(view, now_s)
+            actions += self._parts.flows.on_live_view(view, now_s)
+            actions += self._parts.requests.on_live_view(view, now_s)
+        return actions
--- /dev/null
+++ b/src/currantshore/internal/health.py
@@ -0,0 +1,521 @@
+"""Health of backend servers as one balancer of the pool sees it.
+
+Outcomes of real work count first and probes second; the reported load of a
+backend server never decides, because load endpoints lag and mislead.
+"""
+
+import random
+from collections.abc import Mapping, Sequence
+from typing import Final
+
+import msgspec
+
+from currantshore import wire
+from currantshore.codes import DropReason, ResultCode
+from currantshore.internal import peerwire, probing
+from currantshore.internal.counters import Count, Counters
+from currantshore.internal.events import (
+    Action,
+    SendToBackend,
+    SendToCaller,
+    SendToPeer,
+)
+from currantshore.internal.reports import Reports
+from currantshore.internal.silence import SilenceTracker, SilentFlow
+from currantshore.internal.snapshot import (
+    BackendServer,
+    BackendState,
+    PoolSnapshot,
+)
+from currantshore.internal.suspicion import SelfSuspicion
+from currantshore.internal.verdicts import Verdict
+from currantshore.internal.views import LiveView
+from currantshore.internal.votes import QUORUM, Votes
+
+_REPEAT_FANOUT: Final = 4
+_MAX_FULL_MESH_PEERS: Final = 7
+# Verdicts of one fault come close together and share datagrams.
+_REPORT_INTERVAL_S: Final = 1.0
+# Makes good lost reports. Each peer of 64 hears it every 80 s, which costs a
+# prober less than 100 bytes a second while a backend server is down.
+_REPEAT_INTERVAL_S: Final = 5.0
+_EXPIRY_INTERVAL_S: Final = 1.0
+# Judging looks at every verdict; a failure causes it at once.
+_JUDGE_INTERVAL_S: Final = 0.25
+# Own traffic that works outweighs what peers say for this long.
+_OWN_SUCCESS_S: Final = 2.0
+# Two failures of one service within this time raise its probe rate.
+_CLOSE_TOGETHER_S: Final = 2.0
+_RETRY_SILENT_FLOW_MS: Final = 100
+
+
+class HealthPlane:
+    """Verdicts, probes, shared reports and silent flows."""
+
+    __slots__ = (
+        '_backends',
+        '_by_endpoint',
+        '_expire_s',
+        '_failing',
+        '_host_id',
+        '_hosts',
+        '_last_failure',
+        '_peer_key',
+        '_pool',
+        '_probers',
+        '_probe_id',
+        '_repeat_s',
+        '_report_s',
+        '_reports',
+        '_returning',
+        '_rng',
+        '_schedule',
+        '_sole',
+        '_turn',
+        '_is_judging_due',
+        '_judge_s',
+        '_newcomers',
+        '_services',
+        '_silence',
+        '_suspicion',
+        '_unusable',
+        '_verdicts',
+        '_view',
+        '_votes',
+        '_weights',
+        'counters',
+    )
+
+    def __init__(
+        self,
+        host_id: str,
+        counters: Counters,
+        peer_key: bytes,
+        rng: random.Random,
+    ) -> None:
+        """Use ``from_config``."""
+        self._host_id = host_id
+        self.counters = counters
+        self._peer_key = peer_key
+        self._rng = rng
+        self._view: LiveView | None = None
+        self._pool: PoolSnapshot | None = None
+        self._backends: dict[str, BackendServer] = {}
+        self._services: dict[str, str] = {}
+        self._by_endpoint: dict[wire.Endpoint, str] = {}
+        self._verdicts: dict[str, Verdict] = {}
+        self._failing: set[str] = set()
+        self._returning: set[str] = set()
+        self._unusable: frozenset[str] = frozenset()
+        self._weights: dict[str, float] = {}
+        self._reports = Reports(host_id)
+        self._newcomers: set[str] = set()
+        self._hosts: frozenset[tuple[str, str]] = frozenset()
+        self._probers: dict[tuple[str, str], list[str]] = {}
+        self._sole: frozenset[str] = frozenset()
+        self._turn = 0
+        self._last_failure: dict[str, tuple[float, str]] = {}
+        self._schedule = probing.ProbeSchedule()
+        self._silence = SilenceTracker()
+        self._suspicion = SelfSuspicion()
+        self._votes = Votes()
+        self._probe_id = 0
+        self._repeat_s = 0.0
+        self._report_s = 0.0
+        self._judge_s = 0.0
+        self._is_judging_due = False
+        self._expire_s = 0.0
+
+    @classmethod
+    def from_config(
+        cls,
+        host_id: str,
+        counters: Counters,
+        peer_key: bytes,
+        rng: random.Random,
+    ) -> 'HealthPlane':
+        """Build the plane of balancer ``host_id``."""
+        return cls(host_id, counters, peer_key, rng)
+
+    @property
+    def silent_flows(self) -> Mapping[str, int]:
+        """Return the number of silent flows found, by backend id."""
+        return self._silence.silent_flows
+
+    def is_usable(self, backend_id: str) -> bool:
+        """Tell whether packets may be sent; unknown ids are usable."""
+        return backend_id not in self._unusable
+
+    def weight_ratio(self, backend_id: str) -> float:
+        """Return 1.0, or less during a slow start."""
+        return self._weights.get(backend_id, 1.0)
+
+    def configure(self, pool: PoolSnapshot, now_s: float) -> list[Action]:
+        """Follow the backend servers of ``pool``."""
+        before = self._backends
+        is_first = self._pool is None
+        self._pool = pool
+        self._index(pool)
+        for backend_id, backend in self._backends.items():
+            verdict = self._verdicts.setdefault(backend_id, Verdict())
+            if not is_first and _is_cold(before.get(backend_id), backend):
+                verdict.start_slowly(now_s)
+                self._returning.add(backend_id)
+        for backend_id in set(self._verdicts) - set(self._backends):
+            self._verdicts.pop(backend_id)
+            self._failing.discard(backend_id)
+            self._returning.discard(backend_id)
+            self._reports.forget(backend_id)
+        self._votes.expire(self._peers(), self._backends, now_s)
+        self._silence.forget_backends(frozenset(self._backends))
+        self._assign(now_s)
+        self._refresh(now_s)
+        return []
+
+    def on_live_view(self, view: LiveView, now_s: float) -> list[Action]:
+        """Share the probes anew among the live balancers."""
+        self._newcomers |= _newcomers(self._view, view) - {self._host_id}
+        self._view = view
+        self._newcomers &= view.peers.keys()
+        hosts = frozenset(
+            (peer.host_id, peer.zone)
+            for peer in view.peers.values()
+            if not peer.is_leaving
+        )
+        if hosts != self._hosts:
+            self._hosts = hosts
+            self._probers = {}
+            self._assign(now_s)
+        return []
+
+    def record_success(self, backend_id: str, now_s: float) -> None:
+        """Note an answer or a downstream packet."""
+        verdict = self._verdicts.get(backend_id)
+        if verdict is not None:
+            verdict.succeed(now_s, is_passive=True)
+            if backend_id in self._failing:
+                self._after_outcome(backend_id, verdict, now_s)
+
+    def record_failure(self, backend_id: str, now_s: float) -> None:
+        """Note a request that timed out."""
+        self._fail(backend_id, now_s, is_passive=True)
+
+    def backend_at(self, source: wire.Endpoint) -> str | None:
+        """Return the id of the backend server at an endpoint, if any."""
+        return self._by_endpoint.get(source)
+
+    def note_upstream(
+        self,
+        service_id: str,
+        flow_key: int,
+        backend_id: str,
+        now_s: float,
+        framed_caller: wire.Endpoint | None = None,
+    ) -> list[Action]:
+        """Note a packet of a flow on its way to its backend server.
+
+        ``framed_caller`` is the caller of a framed flow, which can be told
+        that the flow is silent; None for an opaque flow.
+        """
+        silent = self._silence.note_order(
+            (service_id, flow_key),
+            backend_id,
+            now_s,
+            framed_caller,
+        )
+        return [] if silent is None else self._report_silent(silent)
+
+    def note_downstream(
+        self,
+        service_id: str,
+        flow_key: int,
+        backend_id: str,
+        now_s: float,
+    ) -> list[Action]:
+        """Note a packet of a flow that came from its backend server."""
+        self._silence.note_answer((service_id, flow_key), backend_id, now_s)
+        self.record_success(backend_id, now_s)
+        return []
+
+    def on_probe_reply(
+        self,
+        source: wire.Endpoint,
+        reply: wire.ProbeReply,
+        now_s: float,
+    ) -> list[Action]:
+        """Note a sign of life; the reported load and state do not count."""
+        backend_id = self._schedule.answer(reply.probe_id)
+        if backend_id is None or self._by_endpoint.get(source) != backend_id:
+            self.counters.drop(DropReason.REPLY_UNMATCHED)
+            return []
+        verdict = self._verdicts[backend_id]
+        verdict.succeed(now_s, is_passive=False)
+        self._after_outcome(backend_id, verdict, now_s)
+        return []
+
+    def on_health_report(
+        self,
+        report: peerwire.HealthReport,
+        now_s: float,
+    ) -> list[Action]:
+        """Take the verdicts of a peer."""
+        if report.sender == self._host_id:
+            return []
+        known = {
+            backend_id: report.verdicts[backend_id]
+            for backend_id in self._backends.keys() & report.verdicts.keys()
+        }
+        report = msgspec.structs.replace(report, verdicts=known)
+        if not self._votes.take(report, now_s):
+            return []
+        for backend_id, is_usable in known.items():
+            if not (is_usable or self._verdicts[backend_id].is_down):
+                # Give the second vote soon, or find that there is no fault.
+                self._schedule.doubt(backend_id, now_s, is_doubtful=True)
+        self._refresh(now_s)
+        return []
+
+    def tick(self, now_s: float) -> list[Action]:
+        """Send due probes and reports; judge expired probes."""
+        for backend_id in self._schedule.take_expired(now_s):
+            self._fail(backend_id, now_s, is_passive=False)
+        self._silence.tick(now_s)
+        if now_s >= self._expire_s:
+            self._expire_s = now_s + _EXPIRY_INTERVAL_S
+            self._votes.expire(self._peers(), self._backends, now_s)
+        self._suspect(now_s)
+        self._refresh(now_s)
+        actions = self._probe(now_s)
+        actions.extend(self._report(now_s))
+        return actions
+
+    def _index(self, pool: PoolSnapshot) -> None:
+        self._backends = {}
+        self._services = {}
+        for service in pool.services:
+            for backend in service.backend_servers:
+                if backend.state is not BackendState.REMOVED:
+                    self._backends[backend.backend_id] = backend
+                    self._services[backend.backend_id] = service.service_id
+        self._by_endpoint = {
+            known.endpoint: known.backend_id
+            for known in self._backends.values()
+        }
+
+    def _assign(self, now_s: float) -> None:
+        """Probe the own share, and what this balancer found down itself.
+
+        Nobody else would notice the return of a backend server that only
+        this balancer has given up.
+        """
+        view = self._view
+        if view is None:
+            return
+        own: dict[str, str] = {}
+        sole: set[str] = set()
+        for backend_id, backend in self._backends.items():
+            is_down = self._verdicts[backend_id].is_down
+            probers = self._probers_of(backend, view)
+            if is_down or self._host_id in probers:
+                own[backend_id] = self._services[backend_id]
+            if probers == [self._host_id]:
+                sole.add(backend_id)
+        self._sole = frozenset(sole)
+        self._schedule.assign(own, now_s)
+
+    def _probers_of(self, backend: BackendServer, view: LiveView) -> list[str]:
+        """Rank the balancers once; it takes 64 hashes at the target size."""
+        key = (backend.backend_id, backend.zone)
+        if key not in self._probers:
+            self._probers[key] = probing.probers(backend, view)
+        return self._probers[key]
+
+    def _fail(self, backend_id: str, now_s: float, *, is_passive: bool) -> None:
+        verdict = self._verdicts.get(backend_id)
+        if verdict is None:
+            return
+        verdict.fail(now_s, is_passive=is_passive)
+        self._is_judging_due = True
+        service_id = self._services[backend_id]
+        previous = self._last_failure.get(service_id)
+        self._last_failure[service_id] = (now_s, backend_id)
+        if previous is not None and now_s - previous[0] <= _CLOSE_TOGETHER_S:
+            self._schedule.raise_rate(service_id, now_s)
+        self._after_outcome(backend_id, verdict, now_s)
+
+    def _after_outcome(
+        self,
+        backend_id: str,
+        verdict: Verdict,
+        now_s: float,
+    ) -> None:
+        if verdict.is_returning:
+            self._returning.add(backend_id)
+        if verdict.is_failing:
+            self._failing.add(backend_id)
+        elif not verdict.is_down:
+            self._failing.discard(backend_id)
+        if verdict.is_down and not self._schedule.is_assigned(backend_id):
+            self._assign(now_s)
+        self._schedule.doubt(
+            backend_id,
+            now_s,
+            is_doubtful=verdict.is_doubtful,
+        )
+
+    def _suspect(self, now_s: float) -> None:
+        if not self._failing and not self._suspicion.is_active:
+            return
+        if not self._is_judging_due and now_s < self._judge_s:
+            return
+        self._is_judging_due = False
+        self._judge_s = now_s + _JUDGE_INTERVAL_S
+        interval_s = self._schedule.usual_interval_s
+        confirmed = self._votes.suspected()
+        if self._suspicion.judge(self._verdicts, confirmed, interval_s, now_s):
+            self.counters.count(Count.SELF_SUSPICIONS)
+
+    def _refresh(self, now_s: float) -> None:
+        """Recompute what ``is_usable`` and ``weight_ratio`` return."""
+        self._unusable = frozenset(
+            backend_id
+            for backend_id in self._failing | self._votes.suspected()
+            if self._is_unusable(backend_id, now_s)
+        )
+        self._weights = {
+            backend_id: self._verdicts[backend_id].weight_ratio(now_s)
+            for backend_id in self._returning
+        }
+        self._returning = {
+            backend_id
+            for backend_id in self._returning
+            if self._verdicts[backend_id].is_returning
+        }
+
+    def _is_unusable(self, backend_id: str, now_s: float) -> bool:
+        """Combine the own verdict with the votes of the peers.
+
+        Own work that fails is enough. Failing probes need a second balancer,
+        because a fault between one prober and the backend server looks alike.
+        """
+        verdict = self._verdicts[backend_id]
+        votes = self._votes.count_down(backend_id)
+        if not self._suspicion.is_active:
+            votes += self._own_weight(backend_id, verdict)
+        if votes >= QUORUM and verdict.is_down:
+            return True
+        if now_s - verdict.last_success_s < _OWN_SUCCESS_S:
+            return False
+        return votes >= QUORUM
+
+    def _own_weight(self, backend_id: str, verdict: Verdict) -> int:
+        """Return how many votes the own evidence counts for."""
+        if not verdict.is_down:
+            return 1 if verdict.is_failing else 0
+        is_enough = verdict.is_from_work or backend_id in self._sole
+        return QUORUM if is_enough else 1
+
+    def _report_silent(self, silent: SilentFlow) -> list[Action]:
+        self.counters.count(Count.FLOWS_SILENT)
+        if silent.caller is None:
+            return []
+        self.counters.refuse(ResultCode.FLOW_SILENT)
+        refusal = wire.Refusal(
+            request_id=0,
+            code=ResultCode.FLOW_SILENT,
+            retry_after_ms=_RETRY_SILENT_FLOW_MS,
+        )
+        return [
+            SendToCaller(
+                silent.service_id,
+                silent.caller,
+                wire.encode(refusal),
+            ),
+        ]
+
+    def _probe(self, now_s: float) -> list[Action]:
+        actions: list[Action] = []
+        for backend_id in self._schedule.take_due(now_s):
+            self._probe_id += 1
+            self._schedule.wait_for(self._probe_id, backend_id, now_s)
+            payload = wire.encode(wire.Probe(self._probe_id))
+            self.counters.count(Count.CONTROL_SENT_BYTES, len(payload))
+            target = self._backends[backend_id].endpoint
+            actions.append(SendToBackend(target, payload))
+        return actions
+
+    def _report(self, now_s: float) -> list[Action]:
+        if self._suspicion.is_active:
+            return []
+        actions: list[Action] = []
+        changed: Mapping[str, bool] = {}
+        if now_s >= self._report_s:
+            changed = self._reports.take_changed(self._down_here(), now_s)
+        if changed:
+            self._report_s = now_s + _REPORT_INTERVAL_S
+            actions.extend(self._send_reports(changed, sorted(self._peers())))
+        if self._newcomers:
+            held = self._reports.lasting(now_s)
+            actions.extend(self._send_reports(held, sorted(self._newcomers)))
+            self._newcomers = set()
+        if now_s >= self._repeat_s:
+            self._repeat_s = now_s + _REPEAT_INTERVAL_S
+            held = self._reports.lasting(now_s)
+            actions.extend(self._send_reports(held, self._next_listeners()))
+        return actions
+
+    def _down_here(self) -> set[str]:
+        return {
+            backend_id
+            for backend_id in self._failing
+            if self._verdicts[backend_id].is_down
+        }
+
+    def _next_listeners(self) -> list[str]:
+        """Return some peers, in turn, to repeat lasting verdicts to."""
+        peers = sorted(self._peers())
+        if len(peers) <= _MAX_FULL_MESH_PEERS:
+            return peers
+        start = self._turn % len(peers)
+        self._turn += _REPEAT_FANOUT
+        return (peers + peers)[start : start + _REPEAT_FANOUT]
+
+    def _send_reports(
+        self,
+        verdicts: Mapping[str, bool],
+        targets: Sequence[str],
+    ) -> list[Action]:
+        own = self._view.peers.get(self._host_id) if self._view else None
+        incarnation = own.incarnation if own else 0
+        actions: list[Action] = []
+        for report in self._reports.build(verdicts, incarnation):
+            payload = peerwire.seal(report, self._peer_key)
+            self.counters.count(
+                Count.CONTROL_SENT_BYTES,
+                len(payload) * len(targets),
+            )
+            actions.extend(SendToPeer(name, payload) for name in targets)
+        return actions
+
+    def _peers(self) -> set[str]:
+        if self._view is None:
+            return set()
+        return set(self._view.peers) - {self._host_id}
+
+
+def _newcomers(before: LiveView | None, after: LiveView) -> set[str]:
+    """Return the hosts whose process was not in the view before."""
+    known = {} if before is None else before.peers
+    return {
+        host_id
+        for host_id, peer in after.peers.items()
+        if host_id not in known
+        or known[host_id].incarnation != peer.incarnation
+    }
+
+
+def _is_cold(before: BackendServer | None, after: BackendServer) -> bool:
+    """Tell whether a backend server has just begun to take new flows."""
+    if after.state is not BackendState.ACTIVE:
+        return False
+    return before is None or before.state is BackendState.JOINING
