Drop the votes of an earlier process; fuzz health

Cause: a balancer that restarted does not know what its earlier process voted, so its vote lasted 120 s although nobody upheld it.

Ruled out: nothing was tried and reverted.

Change: a new incarnation drops the votes. A fuzz test of failures, deaths and deaf balancers ends with all backend servers usable; it fails when a balancer does not probe what it found down (checked on a scratch copy).

--- a/src/currantshore/internal/health.py
+++ b/src/currantshore/internal/health.py
@@ -174,7 +174,9 @@
 
     def on_live_view(self, view: LiveView, now_s: float) -> list[Action]:
         """Share the probes anew among the live balancers."""
-        self._newcomers |= _newcomers(self._view, view) - {self._host_id}
+        newcomers = _newcomers(self._view, view) - {self._host_id}
+        self._newcomers |= newcomers
+        self._votes.forget(newcomers)
         self._view = view
         self._newcomers &= view.peers.keys()
         hosts = frozenset(
--- a/src/currantshore/internal/votes.py
+++ b/src/currantshore/internal/votes.py
@@ -42,6 +42,15 @@
         """Return how many balancers hold ``backend_id`` down."""
         return len(self._down.get(backend_id, ()))
 
+    def forget(self, senders: Collection[str]) -> None:
+        """Drop the votes of hosts whose process is a new one.
+
+        A new process does not know what the earlier one voted.
+        """
+        for voters in self._down.values():
+            for sender in senders:
+                voters.pop(sender, None)
+
     def expire(
         self,
         live: Collection[str],
--- a/tests/cover/test_health.py
+++ b/tests/cover/test_health.py
@@ -3,6 +3,8 @@
 import random
 
 import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from bench.virtualpool import PEER_KEY, build_pool
 from currantshore import wire
@@ -19,6 +21,9 @@
 from currantshore.internal.verdicts import FAILURES_TO_DOWN, Verdict
 from currantshore.internal.views import LiveView, PeerView
 
+settings.register_profile('ci', derandomize=True, deadline=None)
+settings.load_profile('ci')
+
 _POOL = build_pool(5, 2, 4)
 _BACKENDS = {
     backend.endpoint: backend
@@ -28,6 +33,13 @@
 _FIRST = _POOL.services[0].backend_servers[0].backend_id
 _CALLER = wire.Endpoint('192.0.2.1', 4000)
 _TICK_S = 0.05
+_steps = st.tuples(
+    st.sampled_from(
+        ('fail', 'work', 'die', 'revive', 'deafen', 'hear', 'wait')
+    ),
+    st.integers(0, 4),
+    st.integers(0, len(_BACKENDS) - 1),
+)
 
 
 def _view(self_id, host_count=5):
@@ -73,6 +85,24 @@
                     )
                     self.act(peer_id, replies)
 
+    def apply(self, kind, host_id, backend_id):
+        match kind:
+            case 'fail':
+                for _ in range(FAILURES_TO_DOWN):
+                    self.planes[host_id].record_failure(backend_id, self.now_s)
+            case 'work':
+                self.planes[host_id].record_success(backend_id, self.now_s)
+            case 'die':
+                self.dead.add(backend_id)
+            case 'revive':
+                self.dead.discard(backend_id)
+            case 'deafen':
+                self.deaf_hosts.add(host_id)
+            case 'hear':
+                self.deaf_hosts.discard(host_id)
+            case 'wait':
+                self.run(1.2)
+
     def answer(self, host_id, target, payload):
         backend_id = _BACKENDS[target].backend_id
         self.probes.append((self.now_s, host_id, backend_id))
@@ -256,6 +286,19 @@
         self.plane.tick(3.0)
         self.assertTrue(self.plane.is_usable(_FIRST))
 
+    def test_votes_of_an_earlier_process_are_dropped(self):
+        self.report('host-01', False)
+        self.report('host-02', False)
+        view = _view('host-00')
+        peers = dict(view.peers)
+        old = peers['host-01']
+        peers['host-01'] = PeerView(
+            old.host_id, old.zone, 8, False, True, 0, {}
+        )
+        self.plane.on_live_view(LiveView('host-00', peers, 1), 1.0)
+        self.plane.tick(1.05)
+        self.assertTrue(self.plane.is_usable(_FIRST))
+
     def test_reports_of_unknown_backend_servers_are_dropped(self):
         self.report('host-01', False)
         self.report('host-02', False)
@@ -343,6 +386,23 @@
             )
 
 
+class FuzzTests(testtools.TestCase):
+    """Guards against orders of events that raise or are never forgotten."""
+
+    @settings(max_examples=25)
+    @given(st.lists(_steps, max_size=80))
+    def test_any_order_of_events_ends_with_all_usable(self, steps):
+        balancers = _Balancers()
+        names = [backend.backend_id for backend in _BACKENDS.values()]
+        for kind, host_place, place in steps:
+            balancers.apply(kind, f'host-{host_place:02}', names[place])
+        balancers.dead.clear()
+        balancers.deaf_hosts.clear()
+        balancers.run(90.0)
+        for name in names:
+            self.assertEqual({True}, set(balancers.seeing(name)), name)
+
+
 class ConfigureTests(testtools.TestCase):
     """Guards against cold starts at full load and stale verdicts."""
 
