--- a/src/currantshore/internal/flowplane.py
+++ b/src/currantshore/internal/flowplane.py
@@ -3,6 +3,7 @@
 import random
 
 from currantshore.codes import DropReason, ResultCode, RetryReason
+from currantshore.errors import InvalidArgumentError
 from currantshore.internal.addressing import PlaneContext
 from currantshore.internal.counters import Count, Counters
 from currantshore.internal.events import (
@@ -25,6 +26,7 @@
 from currantshore.internal.snapshot import PoolSnapshot
 from currantshore.internal.tokens import FlowToken, TokenSealer
 from currantshore.internal.tracking import ServiceFlows
+from currantshore.internal.turns import Turns
 from currantshore.internal.views import BackendHealth, LiveView
 from currantshore.wire import (
     Data,
@@ -58,35 +60,25 @@
         '_peers',
         '_sealer',
         '_services',
+        '_turns',
     )
 
     def __init__(
         self,
-        host_id: str,
-        counters: Counters,
+        context: PlaneContext,
         sealer: TokenSealer,
-        peer_key: bytes,
         incarnation: int,
-        health: BackendHealth,
-        rng: random.Random,
     ) -> None:
         """Use ``from_config``."""
+        self._context = context
+        self._peers = context.peers
+        self._is_usable = context.health.is_usable
+        self._sealer = sealer
+        self._incarnation = incarnation
         # Counted here and added to the counters by each tick.
         self._forwarded = 0
-        self._incarnation = incarnation
-        self._is_usable = health.is_usable
-        self._sealer = sealer
-        self._peers = Peers(host_id)
-        self._context = PlaneContext(
-            host_id,
-            peer_key,
-            counters,
-            self._peers,
-            HandoverLedger(),
-            health,
-            rng,
-        )
         self._services: dict[str, ServiceFlows] = {}
+        self._turns = Turns()
         # Handovers of services that this balancer does not know yet.
         self._early: list[FlowsHandedOver] = []
 
@@ -102,15 +94,22 @@
         rng: random.Random,
     ) -> 'FlowPlane':
         """Build the part for one process; it holds no configuration yet."""
-        return cls(
+        if not host_id:
+            raise InvalidArgumentError.from_value(
+                'host_id',
+                host_id,
+                'the id of a host of the pool',
+            )
+        context = PlaneContext(
             host_id,
-            counters,
-            sealer,
             peer_key,
-            incarnation,
+            counters,
+            Peers(host_id),
+            HandoverLedger(),
             health,
             rng,
         )
+        return cls(context, sealer, incarnation)
 
     def configure(self, pool: PoolSnapshot, now_s: float) -> list[Action]:
         """Take over newer configuration and prepare its changes.
@@ -118,11 +117,10 @@
         The next ``on_live_view`` must carry the digest of ``pool``.
         """
         is_start = not self._services
-        self._peers.has_declared = any(
-            host.host_id != self._context.host_id for host in pool.members.hosts
-        )
+        hosts = {host.host_id for host in pool.members.hosts}
+        self._peers.declared = frozenset(hosts - {self._context.host_id})
         is_known_by_peers = self._peers.is_behind or (
-            is_start and self._peers.has_declared
+            is_start and bool(self._peers.declared)
         )
         actions: list[Action] = []
         for service in pool.services:
@@ -307,8 +305,10 @@
 
     def is_prepared(self) -> bool:
         """Tell whether all handovers of the last change were acknowledged."""
-        return all(
-            flows.placer.sharing.is_prepared()
+        if self._context.ledger.is_any_blocking():
+            return False
+        return not any(
+            flows.placer.sharing.has_waiting
             for flows in self._services.values()
         )
 
@@ -329,7 +329,7 @@
         self._forwarded = 0
         actions: list[Action] = []
         actions.extend(self._context.ledger.retries(now_s))
-        for flows in self._services.values():
+        for flows in self._turns.pick(self._services.values(), _is_busy):
             actions.extend(flows.tick(now_s))
         return actions
 
@@ -372,3 +372,7 @@
     def _drop(self, reason: DropReason) -> list[Action]:
         self._context.counters.drop(reason)
         return []
+
+
+def _is_busy(flows: ServiceFlows) -> bool:
+    return flows.is_busy()
--- a/src/currantshore/internal/tracking.py
+++ b/src/currantshore/internal/tracking.py
@@ -83,6 +83,10 @@
         """Tell whether no packet and no exception waits."""
         return self.desk.is_idle() and self.placer.sharing.is_idle()
 
+    def is_busy(self) -> bool:
+        """Tell whether a change, a handover or a lookup is going on."""
+        return self.placer.change.moved is not None or not self.is_idle()
+
     def tick(self, now_s: float) -> list[Action]:
         """Expire flows, retry lookups and go on with a change."""
         placer = self.placer
@@ -105,5 +109,5 @@
             actions = sharing.announce_commit(now_s)
             if change.is_forced:
                 self._context.counters.count(Count.PREPARE_TIMEOUTS)
-        change.settle_if_complete(peers.others, now_s)
+        change.settle_if_complete(peers, now_s)
         return actions
