Split the live set from the membership plane

Ruled out: nothing was tried and reverted.

Change: liveset.py merges heartbeats and keeps the view; membership.py sends heartbeats and questions and starts fetches.

Figures: the tests of membership and configuration pass as before.

Conclusion: no change of behaviour.

--- /dev/null
+++ b/src/currantshore/internal/liveset.py
@@ -0,0 +1,259 @@
+"""The hosts of a pool as heartbeats tell of them."""
+
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+from currantshore.internal import packing, peerwire
+from currantshore.internal.roster import Member
+from currantshore.internal.snapshot import PoolSnapshot
+from currantshore.internal.views import LiveView, PeerView
+
+FAILURE_TIMEOUT_S: Final = 2.0
+# Counters that gossip may be ahead of a heartbeat that comes directly.
+_MAX_LEAD: Final = 8
+# Ends the race of two processes that were started with the same host id.
+_MAX_RAISES: Final = 3
+MAX_INCARNATION: Final = 2**62
+# Peers name hosts by their places in the pool version that they hold.
+_MAX_PLACE_LISTS: Final = 4
+
+
+class LiveSet:
+    """Members of the pool, merged from heartbeats, and the view of them.
+
+    ``is_urgent`` is set when peers should hear of a change of the own status
+    at once; the owner of the live set clears it.
+    """
+
+    __slots__ = (
+        '_by_key',
+        '_places',
+        '_platform_missing',
+        '_raises',
+        '_view',
+        'is_urgent',
+        'members',
+        'own',
+    )
+
+    def __init__(self, own: Member) -> None:
+        """Start with this host alone."""
+        self.own = own
+        self.members: dict[str, Member] = {}
+        self.is_urgent = False
+        self._by_key: dict[int, Member] = {}
+        self._places: dict[int, list[str]] = {}
+        self._platform_missing: frozenset[str] = frozenset()
+        self._raises = 0
+        self._view: LiveView | None = None
+
+    def note_own_change(self) -> None:
+        """Let the own status be shown and sent."""
+        self.is_urgent = True
+        self._view = None
+
+    def note_platform_hosts(self, host_ids: Iterable[str]) -> None:
+        """Give up hosts that are missing from ``host_ids`` sooner."""
+        self._platform_missing = frozenset(self.members) - set(host_ids)
+
+    def view(self) -> LiveView:
+        """Return the live hosts; the same object until something changes."""
+        if self._view is None:
+            live = [self.own]
+            live.extend(
+                member for member in self.members.values() if member.is_live
+            )
+            self._view = LiveView(
+                self_id=self.own.host_id,
+                peers={peer.host_id: _peer_view(peer) for peer in live},
+                configuration_digest=self.own.digest,
+            )
+        return self._view
+
+    def index(self, pool: PoolSnapshot) -> list[Member]:
+        """Follow the hosts of ``pool``; return them in the order of places."""
+        declared = {
+            host.host_id: host.zone
+            for host in pool.members.hosts
+            if host.host_id != self.own.host_id
+        }
+        self.members = {
+            host_id: self.members.get(host_id) or Member(host_id, zone)
+            for host_id, zone in declared.items()
+        }
+        self._by_key = {member.key: member for member in self.members.values()}
+        names = sorted({*declared, self.own.host_id})
+        version = pool.members.version
+        self._places[packing.version_tag(version)] = names
+        if len(self._places) > _MAX_PLACE_LISTS:
+            self._places.pop(next(iter(self._places)))
+        return [self.members.get(name, self.own) for name in names]
+
+    def note_namesake(self, heartbeat: peerwire.Heartbeat) -> None:
+        """Note a heartbeat of another process with the own host id."""
+        if heartbeat.incarnation != self.own.incarnation:
+            self._raise_above(heartbeat.incarnation)
+
+    def merge(
+        self,
+        heartbeat: peerwire.Heartbeat,
+        now_s: float,
+    ) -> Member | None:
+        """Merge what a peer knows; return the peer if it is a member."""
+        self._merge_counters(heartbeat.counters, now_s)
+        sender = self.members.get(heartbeat.sender)
+        if sender is not None and self._is_current(sender, heartbeat):
+            self._merge_status(sender, heartbeat)
+            self._merge_packed(heartbeat, now_s)
+        return sender
+
+    def refresh(self, now_s: float) -> None:
+        """Give up the members whose counters have not risen in time."""
+        for member in self.members.values():
+            age_s = now_s - member.last_rise_s
+            if member.is_live and age_s > self._timeout_s(member):
+                member.move('timeout')
+                self._view = None
+
+    def skip_pause(self, duration_s: float) -> None:
+        """Keep the live set over a pause of this process.
+
+        The peers' heartbeats of that time are lost or still queued, so their
+        age says nothing; they get the rest of their timeout to be heard.
+        """
+        for member in self.members.values():
+            if member.is_live:
+                member.last_rise_s += duration_s
+
+    def _raise_above(self, incarnation: int) -> None:
+        """Outrank an earlier process whose start time was ahead of ours.
+
+        Terminates because only the host itself raises its incarnation, and
+        at most ``_MAX_RAISES`` times in a process.
+        """
+        if incarnation < self.own.incarnation or self._raises >= _MAX_RAISES:
+            return
+        if incarnation >= MAX_INCARNATION:
+            return
+        self._raises += 1
+        self.own.incarnation = incarnation + 1
+        self.note_own_change()
+
+    def _merge_counters(
+        self,
+        counters: Mapping[int, tuple[int, int]],
+        now_s: float,
+    ) -> None:
+        for key, (incarnation, counter) in counters.items():
+            if key == self.own.key:
+                self._check_own(incarnation, counter)
+            elif incarnation < MAX_INCARNATION:
+                self._merge_counter(key, incarnation, counter, now_s)
+
+    def _check_own(self, incarnation: int, counter: int) -> None:
+        newest = (self.own.incarnation, self.own.counter)
+        if (incarnation, counter) > newest:
+            self._raise_above(incarnation)
+
+    def _merge_counter(
+        self,
+        key: int,
+        incarnation: int,
+        counter: int,
+        now_s: float,
+    ) -> None:
+        member = self._by_key.get(key)
+        if member is None:
+            return
+        before = (member.incarnation, member.state)
+        member.rise(incarnation, counter, now_s)
+        if before != (member.incarnation, member.state):
+            self._view = None
+
+    def _is_current(
+        self,
+        sender: Member,
+        heartbeat: peerwire.Heartbeat,
+    ) -> bool:
+        """Tell whether a heartbeat is not an old or repeated datagram."""
+        stated = heartbeat.counters.get(sender.key)
+        if stated is None or heartbeat.incarnation != sender.incarnation:
+            return False
+        if stated[1] <= sender.status_counter:
+            return False
+        sender.status_counter = stated[1]
+        if stated[1] < sender.counter - _MAX_LEAD:
+            # A packed record of an earlier process was read as this one's.
+            sender.counter = stated[1]
+        return True
+
+    def _merge_status(
+        self,
+        sender: Member,
+        heartbeat: peerwire.Heartbeat,
+    ) -> None:
+        before = _peer_view(sender)
+        if heartbeat.is_leaving:
+            sender.move('leave')
+        sender.is_warm = heartbeat.is_warm
+        sender.prepared_digest = heartbeat.prepared_digest
+        sender.digest = heartbeat.configuration_digest
+        if heartbeat.has_demands:
+            sender.demands = heartbeat.demands
+        sender.successor = heartbeat.successor
+        if _peer_view(sender) != before:
+            self._view = None
+
+    def _merge_packed(
+        self,
+        heartbeat: peerwire.Heartbeat,
+        now_s: float,
+    ) -> None:
+        header = packing.read_header(heartbeat.members)
+        if header is None or header.version not in self._places:
+            return
+        places = self._places[header.version]
+        # Flags about another configuration would undo what is known of ours.
+        is_same = heartbeat.configuration_digest == self.own.digest
+        prepared_digest = self.own.digest if is_same else 0
+        for record in packing.unpack(heartbeat.members, header):
+            if record.place < len(places):
+                host_id = places[record.place]
+                self._merge_record(host_id, record, prepared_digest, now_s)
+
+    def _merge_record(
+        self,
+        host_id: str,
+        record: packing.Record,
+        prepared_digest: int,
+        now_s: float,
+    ) -> None:
+        member = self.members.get(host_id)
+        if member is None:
+            return
+        counter = packing.full_counter(member, record)
+        if counter is None:
+            return
+        before = member.state
+        member.rise(member.incarnation, counter, now_s)
+        is_new = packing.merge_flags(member, record, prepared_digest)
+        if is_new or member.state != before:
+            self._view = None
+
+    def _timeout_s(self, member: Member) -> float:
+        if member.host_id in self._platform_missing:
+            return FAILURE_TIMEOUT_S / 2
+        return FAILURE_TIMEOUT_S
+
+
+def _peer_view(member: Member) -> PeerView:
+    return PeerView(
+        host_id=member.host_id,
+        zone=member.zone,
+        incarnation=member.incarnation,
+        is_leaving=member.is_leaving,
+        is_warm=member.is_warm,
+        prepared_digest=member.prepared_digest,
+        demands=member.demands,
+        successor=member.successor,
+    )
--- a/tests/stateful/test_membership.py
+++ b/tests/stateful/test_membership.py
@@ -15,7 +15,7 @@
 
 from bench.virtualpool import Network, VirtualPool, build_pool, with_version
 from currantshore.internal.configuration import regressions
-from currantshore.internal.membership import FAILURE_TIMEOUT_S
+from currantshore.internal.liveset import FAILURE_TIMEOUT_S
 
 settings.register_profile('ci', derandomize=True, deadline=None)
 settings.load_profile('ci')
