Send signals to children without polling them

Ruled out: a failing child; Popen.send_signal polls and reaps.

Change: os.kill while the child runs.

Conclusion: exit codes of children are their own.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -74,8 +74,11 @@
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to this process, if it still runs."""
-        with contextlib.suppress(ProcessLookupError):
-            self._process.send_signal(number)
+        # Not the method of asyncio's process: it polls and may thereby reap
+        # the child, after which asyncio reports the exit code 255.
+        if self.is_running:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.pid, number)
 
     async def wait(self, timeout_s: float = _STOP_TIMEOUT_S) -> int:
         """Wait for the end and return the exit code."""
