Give the core's inputs, actions and records public names

Cause: another packet source had to import from internal/ to drive the core. Ruled out: moving the modules now, while other work changes their users. Before: no public names.

--- /dev/null
+++ b/src/currantshore/events.py
@@ -0,0 +1,44 @@
+"""Inputs and actions of ``core.BalancerCore``.
+
+An adapter for another packet source builds these inputs and carries out these
+actions; it needs nothing else of the package but ``core``, ``snapshot`` and
+``wire``.
+"""
+
+from currantshore.internal.events import (
+    Action,
+    BackendDatagram,
+    CallerDatagram,
+    ConfigurationChanged,
+    Event,
+    FetchConfiguration,
+    FlowsHandedOver,
+    HandOverFlows,
+    HandOverRequests,
+    HandoverFinished,
+    LeaveRequested,
+    PeerDatagram,
+    RequestsHandedOver,
+    SendToBackend,
+    SendToCaller,
+    SendToPeer,
+)
+
+__all__ = (
+    'Action',
+    'BackendDatagram',
+    'CallerDatagram',
+    'ConfigurationChanged',
+    'Event',
+    'FetchConfiguration',
+    'FlowsHandedOver',
+    'HandOverFlows',
+    'HandOverRequests',
+    'HandoverFinished',
+    'LeaveRequested',
+    'PeerDatagram',
+    'RequestsHandedOver',
+    'SendToBackend',
+    'SendToCaller',
+    'SendToPeer',
+)
--- /dev/null
+++ b/src/currantshore/snapshot.py
@@ -0,0 +1,29 @@
+"""Configuration records of a pool, as the platform's objects hold them."""
+
+from currantshore.internal.snapshot import (
+    BackendServer,
+    BackendState,
+    HostState,
+    HostStatus,
+    PoolHost,
+    PoolMembers,
+    PoolSnapshot,
+    PriorityClass,
+    ServiceSnapshot,
+    pool_key,
+    service_key,
+)
+
+__all__ = (
+    'BackendServer',
+    'BackendState',
+    'HostState',
+    'HostStatus',
+    'PoolHost',
+    'PoolMembers',
+    'PoolSnapshot',
+    'PriorityClass',
+    'ServiceSnapshot',
+    'pool_key',
+    'service_key',
+)
