Count only exceptions of the same version; keep each deadline apart

An owner that still held an old version took the exceptions of a later one for its own, and committed a change early that only it knew.

Settling by a version of at least its own was ruled out by the state machine.

Settling needs the same version of every peer; when the deadline of a change passes during a later one, only the former table moves on.

--- a/src/currantshore/internal/change.py
+++ b/src/currantshore/internal/change.py
@@ -6,7 +6,7 @@
 nobody needs to ask).
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from typing import Final
 
 import numpy as np
@@ -38,7 +38,7 @@
         '_hold_until_s',
         '_idle_timeout_s',
         '_prepare_timeout_s',
-        '_prepared_at_s',
+        '_pending',
         '_settled_versions',
         '_started_at_s',
         '_updates',
@@ -67,10 +67,11 @@
         """
         self._settled_versions: dict[str, int] = {}
         self._started_at_s = now_s
-        self._prepared_at_s = now_s
         self._hold_until_s = now_s
         self._updates = 0
         self.table = table
+        # The uncommitted tables and when they were prepared, oldest first.
+        self._pending = [(now_s, table)]
         self.base: PlacementTable | None = None
         self.moved = _all_of(table) if is_known_by_peers else None
         self.is_committed = not is_known_by_peers
@@ -94,10 +95,10 @@
         two, so all buckets count as moved.
         """
         if self.is_committed:
-            # Later changes do not put off the end of an uncommitted one.
-            self._prepared_at_s = now_s
+            self._pending = []
             self.base = self.table
             self.is_doubtful = self.moved is not None
+        self._pending.append((now_s, table))
         moved = _difference(self.table, table)
         if self.base is not None:
             moved = moved | _difference(self.base, table)
@@ -136,7 +137,8 @@
             return False
         is_seen = peers.updates > self._updates and not peers.unprepared
         is_ready = is_seen and not is_blocked and self._has_met(peers, now_s)
-        is_late = now_s >= self._prepared_at_s + self._prepare_timeout_s
+        self._pass_deadlines(now_s)
+        is_late = now_s >= self._pending[-1][0] + self._prepare_timeout_s
         if not (is_ready or is_late):
             return False
         self._commit(now_s)
@@ -163,19 +165,29 @@
         if not (self.is_warm and self.is_committed) or self.moved is None:
             return
         is_old = now_s >= self._committed_at_s + self._idle_timeout_s
-        is_told = self._have_settled(peers.others, self._version)
+        is_told = self._have_settled(peers.others)
         if is_old or (is_told and now_s >= self._hold_until_s):
             self.moved = None
             self.base = None
             self.is_forced = False
             self.is_doubtful = False
 
+    def _pass_deadlines(self, now_s: float) -> None:
+        """Let later changes not put off the end of an earlier drain."""
+        while len(self._pending) > 1:
+            prepared_at_s, table = self._pending[0]
+            if now_s < prepared_at_s + self._prepare_timeout_s:
+                return
+            self._pending.pop(0)
+            self.base = table
+            self.is_doubtful = True
+
     def _warm_up(self, peers: Peers, now_s: float) -> None:
         """Answer lookups once every peer has told of its exceptions."""
         if self.is_warm:
             return
         is_old = now_s >= self._started_at_s + self._prepare_timeout_s
-        is_told = self._have_settled(peers.others, NO_VERSION + 1)
+        is_told = self._settled_versions.keys() >= peers.others
         has_met = bool(peers.others) and self._has_met(peers, now_s)
         self.is_warm = is_old or (is_told and has_met)
 
@@ -185,9 +197,13 @@
             return True
         return now_s >= self._started_at_s + _MEETING_TIME_S
 
-    def _have_settled(self, others: Iterable[str], version: int) -> bool:
-        versions: Mapping[str, int] = self._settled_versions
-        return all(versions.get(host, NO_VERSION) >= version for host in others)
+    def _have_settled(self, others: Iterable[str]) -> bool:
+        """Tell whether all peers have settled exactly this version.
+
+        The exceptions of a later version do not explain the table held here.
+        """
+        versions = self._settled_versions
+        return all(versions.get(host) == self._version for host in others)
 
     def _adopt(
         self,
--- a/tests/stateful/test_flows.py
+++ b/tests/stateful/test_flows.py
@@ -332,6 +332,23 @@
             ('send_on_all_flows', 2),
         ),
     ),
+    (
+        'an owner with an old version took later exceptions for its own',
+        7872,
+        0.02,
+        (
+            ('open_flows', 5),
+            ('drain_or_return', 2, (0.0, 1.5, 1.5, 0.6, 0.1)),
+            ('open_flows', 11),
+            ('freeze', 'h3', 0.4),
+            ('wait', 2.2),
+            ('freeze', 'h1', 1.5),
+            ('drain_or_return', 1, (2.9, 0.0, 2.9, 0.0, 2.9)),
+            ('drain_or_return', 2, (0.0, 1.5, 1.5, 2.9, 0.6)),
+            ('drain_or_return', 1, (0.6, 0.0, 0.0, 2.9, 0.0)),
+            ('wait', 6.3),
+        ),
+    ),
     (
         'a second change put off the end of a drain',
         772,
