Test a drain followed by the restart of every balancer

Cause: planned restarts of all balancers had been tried by hand only.

Ruled out: a fixed wait for each restart; the test waits for exit and readiness.

--- /dev/null
+++ b/tests/process/test_rolling.py
@@ -0,0 +1,48 @@
+"""Planned restarts of all balancers, one after the other."""
+
+import asyncio
+import signal
+
+from currantshore.internal.settings import ExitCode
+from standins.userrun import Scale, UserRun
+from tests.process.harness import ProcessTestCase
+
+
+class RollingRestartTests(ProcessTestCase):
+    """Guards against flows that break when no old process is left."""
+
+    def test_flows_survive_a_drain_and_the_restart_of_every_balancer(self):
+        self.run_scenario(self._restart_all)
+
+    async def _restart_all(self):
+        run = UserRun(self.cluster, Scale(0, 0, pause_s=0.2), seed=1)
+        await run.open_flows(20)
+        run.use_flows()
+        await run.drain()
+        await self._restart_in_turn(run, self.cluster.running())
+        await run.finish()
+        report = await run.summarize()
+        run.close()
+        for promise in (
+            'flows_broken',
+            'ran_twice',
+            'refused_but_ran',
+            'answers_wrong_service',
+            'new_flows_after_drain',
+        ):
+            self.assertEqual(0, report[promise], (promise, report))
+
+    async def _restart_in_turn(self, run, host_ids):
+        left = list(host_ids)
+        while left:
+            host_id = left.pop(0)
+            child = self.cluster.balancers[host_id]
+            child.send_signal(signal.SIGTERM)
+            # The fabric learns of the leave while the balancer lingers.
+            await asyncio.sleep(0.5)
+            run.fabric.withdraw(host_id)
+            self.assertEqual(ExitCode.OK, await child.wait(60))
+            await self.cluster.start_balancer(host_id)
+            await self.cluster.wait_until_ready()
+            plan = self.cluster.hosts[host_id]
+            run.fabric.restore(host_id, plan.services)
