End an overdue drain without a table that peers may have skipped

When a deadline passed during later changes, the owner placed flows by a middle table; a balancer that had skipped it trusted other buckets.

Keeping the middle table for drained buckets only was ruled out: the newest table serves them as well.

An overdue owner places a flow by the newest table if the former server is drained, else by the former table.

--- a/src/currantshore/internal/change.py
+++ b/src/currantshore/internal/change.py
@@ -35,10 +35,11 @@
 
     __slots__ = (
         '_committed_at_s',
+        '_first_prepared_at_s',
         '_hold_until_s',
         '_idle_timeout_s',
         '_prepare_timeout_s',
-        '_pending',
+        '_prepared_at_s',
         '_settled_versions',
         '_started_at_s',
         '_updates',
@@ -48,6 +49,7 @@
         'is_committed',
         'is_doubtful',
         'is_forced',
+        'is_overdue',
         'is_warm',
         'moved',
         'table',
@@ -70,8 +72,11 @@
         self._hold_until_s = now_s
         self._updates = 0
         self.table = table
-        # The uncommitted tables and when they were prepared, oldest first.
-        self._pending = [(now_s, table)]
+        # When the oldest and the newest uncommitted change were prepared.
+        self._first_prepared_at_s = now_s
+        self._prepared_at_s = now_s
+        # Whether drained backend servers get no new flow before the commit.
+        self.is_overdue = False
         self.base: PlacementTable | None = None
         self.moved = _all_of(table) if is_known_by_peers else None
         self.is_committed = not is_known_by_peers
@@ -95,10 +100,11 @@
         two, so all buckets count as moved.
         """
         if self.is_committed:
-            self._pending = []
+            self._first_prepared_at_s = now_s
+            self.is_overdue = False
             self.base = self.table
             self.is_doubtful = self.moved is not None
-        self._pending.append((now_s, table))
+        self._prepared_at_s = now_s
         moved = _difference(self.table, table)
         if self.base is not None:
             moved = moved | _difference(self.base, table)
@@ -137,8 +143,11 @@
             return False
         is_seen = peers.updates > self._updates and not peers.unprepared
         is_ready = is_seen and not is_blocked and self._has_met(peers, now_s)
-        self._pass_deadlines(now_s)
-        is_late = now_s >= self._pending[-1][0] + self._prepare_timeout_s
+        # A later change must not put off the end of an earlier drain.
+        if now_s >= self._first_prepared_at_s + self._prepare_timeout_s:
+            self.is_overdue = True
+            self.is_doubtful = True
+        is_late = now_s >= self._prepared_at_s + self._prepare_timeout_s
         if not (is_ready or is_late):
             return False
         self._commit(now_s)
@@ -172,16 +181,6 @@
             self.is_forced = False
             self.is_doubtful = False
 
-    def _pass_deadlines(self, now_s: float) -> None:
-        """Let later changes not put off the end of an earlier drain."""
-        while len(self._pending) > 1:
-            prepared_at_s, table = self._pending[0]
-            if now_s < prepared_at_s + self._prepare_timeout_s:
-                return
-            self._pending.pop(0)
-            self.base = table
-            self.is_doubtful = True
-
     def _warm_up(self, peers: Peers, now_s: float) -> None:
         """Answer lookups once every peer has told of its exceptions."""
         if self.is_warm:
