Let new tokens name the chosen executors of a service

Ruled out: more exact slot shares; with more executors than slots none helps. Change: on_open names choose_executor of the live view.

--- a/src/currantshore/internal/flowplane.py
+++ b/src/currantshore/internal/flowplane.py
@@ -13,6 +13,7 @@
     SendToBackend,
     SendToCaller,
 )
+from currantshore.internal.executorchoice import choose_executor
 from currantshore.internal.flowtable import (
     FINGERPRINT_MASK,
     entry_of,
@@ -61,6 +62,7 @@
         '_sealer',
         '_services',
         '_turns',
+        '_view',
     )
 
     def __init__(
@@ -79,6 +81,7 @@
         self._forwarded = 0
         self._services: dict[str, ServiceFlows] = {}
         self._turns = Turns()
+        self._view: LiveView | None = None
         # Handovers of services that this balancer does not know yet.
         self._early: list[FlowsHandedOver] = []
 
@@ -139,6 +142,7 @@
 
     def on_live_view(self, view: LiveView, now_s: float) -> list[Action]:
         """Take over the live balancers and what they have prepared."""
+        self._view = view
         change = self._peers.update(view, now_s)
         actions: list[Action] = []
         if change.is_empty():
@@ -178,11 +182,12 @@
             return placer.refuse(caller, code, _NO_BACKEND_RETRY_MS)
         placer.remember(flow_key, slot, is_framed=True)
         self._context.counters.count(Count.FLOWS_PLACED)
+        executor_id, incarnation = self._executor(flows, flow_key)
         token = FlowToken(
             service_id,
             placer.backends.name(slot),
-            self._context.host_id,
-            self._incarnation,
+            executor_id,
+            incarnation,
             first_request_id,
         )
         opened = Opened(self._sealer.seal(token, flow_key))
@@ -333,6 +338,15 @@
             actions.extend(flows.tick(now_s))
         return actions
 
+    def _executor(self, flows: ServiceFlows, flow_key: int) -> tuple[str, int]:
+        """Return the host and incarnation that a new token names."""
+        chosen = None
+        if self._view is not None:
+            chosen = choose_executor(flows.service, self._view, flow_key)
+        if chosen is None or chosen.host_id == self._context.host_id:
+            return self._context.host_id, self._incarnation
+        return chosen.host_id, chosen.incarnation
+
     def _on_token(
         self,
         flows: ServiceFlows,
--- a/src/currantshore/internal/tracking.py
+++ b/src/currantshore/internal/tracking.py
@@ -83,6 +83,11 @@
         """Tell whether no packet and no exception waits."""
         return self.desk.is_idle() and self.placer.sharing.is_idle()
 
+    @property
+    def service(self) -> ServiceSnapshot:
+        """The configuration of the service in use here."""
+        return self._service
+
     def is_busy(self) -> bool:
         """Tell whether a change, a handover or a lookup is going on."""
         return self.placer.change.moved is not None or not self.is_idle()
