Forward the packets of known flows of a batch in one call

Ruled out: a cache of sources in front of the core, which would double the memory of each flow. Change: BalancerCore.forward_known takes a batch and returns what it must not decide; the driver uses it for callers' batches.

--- a/src/currantshore/core.py
+++ b/src/currantshore/core.py
@@ -3,7 +3,7 @@
 from typing import Final, TypeAlias
 
 from currantshore.errors import InvalidArgumentError
-from currantshore.internal import configuration
+from currantshore.internal import configuration, fastpath
 from currantshore.internal.callerintake import CallerIntake
 from currantshore.internal.counters import Count, Counters
 from currantshore.internal.events import (
@@ -144,6 +144,21 @@
             for host in self._pool.members.hosts
         )
 
+    def forward_known(
+        self,
+        service_id: str,
+        batch: fastpath.Packets,
+    ) -> tuple[fastpath.Packets, fastpath.Packets]:
+        """Forward the opaque packets of known flows of a batch.
+
+        Takes (payload, caller) pairs. Returns (payload, backend server) pairs
+        to send, and the pairs that ``handle`` must decide, in order.
+        """
+        placer = self._parts.flows.placer(service_id)
+        if placer is None:
+            return [], batch
+        return fastpath.forward_known(placer, batch, self.counters)
+
     def handle(self, event: Event, now_s: float) -> _Actions:
         """Return the actions that answer ``event`` at ``now_s``."""
         match event:
--- a/src/currantshore/internal/datagrams.py
+++ b/src/currantshore/internal/datagrams.py
@@ -125,6 +125,16 @@
             self.failed_sends += 1
         self.sent += 1
 
+    def send_all(self, batch: Batch) -> None:
+        """Send (payload, target) pairs at once, as ``send`` does."""
+        sendto = self._sendto
+        for payload, target in batch:
+            try:
+                sendto(payload, target)
+            except (OSError, OverflowError):
+                self.failed_sends += 1
+        self.sent += len(batch)
+
     def _read_batch(self) -> None:
         batch: Batch = []
         receive = self._receive
--- a/src/currantshore/internal/driver.py
+++ b/src/currantshore/internal/driver.py
@@ -73,8 +73,10 @@
         """Feed what arrived on the address of a service."""
         now_s = self._loop.time()
         handle = self._core.handle
+        sends, rest = self._core.forward_known(service_id, batch)
+        self._datagrams.backend.send_all(sends)
         actions: list[Action] = []
-        for payload, source in batch:
+        for payload, source in rest:
             event = CallerDatagram(
                 service_id, Endpoint(source[0], source[1]), payload
             )
--- /dev/null
+++ b/src/currantshore/internal/fastpath.py
@@ -0,0 +1,89 @@
+"""Forwards a batch of opaque packets of known flows.
+
+Most packets belong to known flows and need no decision. This path does the
+same as ``CallerIntake.handle`` and ``FlowPlane.on_payload`` for them, without
+an event and a list of actions for each packet.
+"""
+
+from typing import Final, TypeAlias
+
+import msgspec
+import xxhash
+
+from currantshore.internal.counters import Count, Counters
+from currantshore.internal.flowtable import FINGERPRINT_MASK, slot_of
+from currantshore.internal.placing import FlowPlacer
+from currantshore.wire import (
+    FRAME_MARK,
+    MAX_DATAGRAM_SIZE_BYTES,
+    Endpoint,
+    Forwarded,
+)
+
+Address: TypeAlias = tuple[str, int]
+Packets: TypeAlias = list[tuple[bytes, Address]]
+
+_MARK_SIZE: Final = len(FRAME_MARK)
+_encode = msgspec.msgpack.Encoder().encode
+_digest = xxhash.xxh3_64_intdigest
+
+
+def forward_known(
+    placer: FlowPlacer,
+    batch: Packets,
+    counters: Counters,
+) -> tuple[Packets, Packets]:
+    """Return (payload, backend server) to send and the datagrams left over.
+
+    Left over are framed, oversized and unknown ones, and those whose backend
+    server cannot be used. The order within a flow is kept: a flow is either
+    known for the whole batch or left over.
+    """
+    service_id = placer.service_id
+    targets = _Targets(placer)
+    sends: Packets = []
+    rest: Packets = []
+    for packet in batch:
+        payload, source = packet
+        # The same key as hashing.flow_key, written out to save a call.
+        name = f'{service_id}|{source[0]}|{source[1]}'.encode()
+        target = targets.find(_digest(name) & FINGERPRINT_MASK)
+        if target is None or _needs_decision(payload):
+            rest.append(packet)
+        else:
+            order = Forwarded(service_id, Endpoint(*source), payload)
+            sends.append((FRAME_MARK + _encode(order), target))
+    counters.counts[Count.PACKETS_FORWARDED] += len(sends)
+    return sends, rest
+
+
+def _needs_decision(payload: bytes) -> bool:
+    is_framed = payload[:_MARK_SIZE] == FRAME_MARK
+    return is_framed or len(payload) > MAX_DATAGRAM_SIZE_BYTES
+
+
+class _Targets:
+    """Looks up the backend server of a fingerprint, once for each server."""
+
+    __slots__ = ('_by_entry', '_known', '_placer')
+
+    def __init__(self, placer: FlowPlacer) -> None:
+        self._placer = placer
+        self._known = placer.known.current
+        self._by_entry: dict[int, Address | None] = {}
+
+    def find(self, fingerprint: int) -> Address | None:
+        entry = self._known.get(fingerprint)
+        if entry is None:
+            return None
+        if entry not in self._by_entry:
+            self._by_entry[entry] = self._resolve(entry)
+        return self._by_entry[entry]
+
+    def _resolve(self, entry: int) -> Address | None:
+        backends = self._placer.backends
+        slot = slot_of(entry)
+        if not backends.is_usable(slot):
+            return None
+        endpoint = backends.endpoint(slot)
+        return None if endpoint is None else (endpoint.host, endpoint.port)
--- a/src/currantshore/internal/flowplane.py
+++ b/src/currantshore/internal/flowplane.py
@@ -24,6 +24,7 @@
 from currantshore.internal.flowpeers import Peers
 from currantshore.internal.peerwire import Lookup, LookupReply
 from currantshore.internal.placement import NO_SLOT
+from currantshore.internal.placing import FlowPlacer
 from currantshore.internal.snapshot import PoolSnapshot
 from currantshore.internal.tokens import FlowToken, TokenSealer
 from currantshore.internal.tracking import ServiceFlows
@@ -193,6 +194,11 @@
         opened = Opened(self._sealer.seal(token, flow_key))
         return [SendToCaller(service_id, caller, encode(opened))]
 
+    def placer(self, service_id: str) -> FlowPlacer | None:
+        """Return where the flows of a service go, if it is known."""
+        flows = self._services.get(service_id)
+        return None if flows is None else flows.placer
+
     def on_payload(
         self,
         service_id: str,
