Bar only servers whose own drain is overdue

A longer deadline was ruled out: drains must end within 3 s.

The deadline is kept for each uncommitted table.

--- a/src/currantshore/internal/change.py
+++ b/src/currantshore/internal/change.py
@@ -35,11 +35,11 @@
 
     __slots__ = (
         '_committed_at_s',
-        '_first_prepared_at_s',
         '_hold_until_s',
         '_idle_timeout_s',
+        '_overdue',
         '_prepare_timeout_s',
-        '_prepared_at_s',
+        '_pending',
         '_settled_versions',
         '_started_at_s',
         '_updates',
@@ -49,7 +49,6 @@
         'is_committed',
         'is_doubtful',
         'is_forced',
-        'is_overdue',
         'is_warm',
         'moved',
         'table',
@@ -72,11 +71,10 @@
         self._hold_until_s = now_s
         self._updates = 0
         self.table = table
-        # When the oldest and the newest uncommitted change were prepared.
-        self._first_prepared_at_s = now_s
-        self._prepared_at_s = now_s
-        # Whether drained backend servers get no new flow before the commit.
-        self.is_overdue = False
+        # The uncommitted tables and when they were prepared, oldest first.
+        self._pending = [(now_s, table)]
+        # Those whose time is over, although a later change is not committed.
+        self._overdue: list[PlacementTable] = []
         self.base: PlacementTable | None = None
         self.moved = _all_of(table) if is_known_by_peers else None
         self.is_committed = not is_known_by_peers
@@ -100,11 +98,11 @@
         two, so all buckets count as moved.
         """
         if self.is_committed:
-            self._first_prepared_at_s = now_s
-            self.is_overdue = False
+            self._pending = []
+            self._overdue = []
             self.base = self.table
             self.is_doubtful = self.moved is not None
-        self._prepared_at_s = now_s
+        self._pending.append((now_s, table))
         moved = _difference(self.table, table)
         if self.base is not None:
             moved = moved | _difference(self.base, table)
@@ -143,11 +141,8 @@
             return False
         is_seen = peers.updates > self._updates and not peers.unprepared
         is_ready = is_seen and not is_blocked and self._has_met(peers, now_s)
-        # A later change must not put off the end of an earlier drain.
-        if now_s >= self._first_prepared_at_s + self._prepare_timeout_s:
-            self.is_overdue = True
-            self.is_doubtful = True
-        is_late = now_s >= self._prepared_at_s + self._prepare_timeout_s
+        self._note_overdue(now_s)
+        is_late = now_s >= self._pending[-1][0] + self._prepare_timeout_s
         if not (is_ready or is_late):
             return False
         self._commit(now_s)
@@ -181,6 +176,23 @@
             self.is_forced = False
             self.is_doubtful = False
 
+    def is_barred(self, slot: int) -> bool:
+        """Tell whether a drained server gets no new flow any more.
+
+        A later change must not put off the end of an earlier drain.
+        """
+        if self.table.has_slot(slot):
+            return False
+        return not all(table.has_slot(slot) for table in self._overdue)
+
+    def _note_overdue(self, now_s: float) -> None:
+        latest_s = now_s - self._prepare_timeout_s
+        self._overdue = [
+            table for since_s, table in self._pending if since_s <= latest_s
+        ]
+        if self._overdue:
+            self.is_doubtful = True
+
     def _warm_up(self, peers: Peers, now_s: float) -> None:
         """Answer lookups once every peer has told of its exceptions."""
         if self.is_warm:
--- a/src/currantshore/internal/placement.py
+++ b/src/currantshore/internal/placement.py
@@ -71,6 +71,10 @@
         """Return the slot of a flow's bucket, or ``NO_SLOT``."""
         return int(self.slots[flow_key & (self.bucket_count - 1)])
 
+    def has_slot(self, slot: int) -> bool:
+        """Tell whether a slot takes new flows in this table."""
+        return slot in self._numbers
+
     def slots_of(self, flow_keys: Numbers) -> Slots:
         """Return the slots of many flows."""
         buckets = flow_keys & np.uint64(self.bucket_count - 1)
--- a/src/currantshore/internal/placing.py
+++ b/src/currantshore/internal/placing.py
@@ -139,7 +139,7 @@
         """Place a new flow by the table that is in force here."""
         table = self.change.table_for_unknown() or self.change.table
         slot = table.slot_of(flow_key)
-        if self.change.is_overdue and slot not in self.backends.accepting:
+        if self.change.is_barred(slot):
             slot = self.change.table.slot_of(flow_key)
         if not self.backends.is_usable(slot):
             return self.replace(flow_key)
