--- a/bench/contactcosts.py
+++ b/bench/contactcosts.py
@@ -9,7 +9,6 @@
 from bench.virtualpool import PEER_KEY, build_pool
 from currantshore.core import BalancerCore
 from currantshore.internal import peerwire
-from currantshore.internal.configuration import digest_of
 from currantshore.internal.events import (
     Action,
     HandoverFinished,
@@ -17,6 +16,7 @@
     PeerDatagram,
 )
 from currantshore.internal.hashing import short_hash
+from currantshore.internal.members.configuration import digest_of
 
 Figures: TypeAlias = dict[str, Any]
 
--- a/bench/floor.py
+++ b/bench/floor.py
@@ -16,7 +16,7 @@
 
 from bench import floorparts
 from currantshore.internal.events import CallerDatagram
-from currantshore.internal.settings import parse_endpoint
+from currantshore.internal.process.settings import parse_endpoint
 from standins import users
 from standins.cluster import Cluster, start_platform, text
 from standins.processes import ChildProcess
--- a/bench/floorparts.py
+++ b/bench/floorparts.py
@@ -7,9 +7,9 @@
 from typing import Final
 
 from currantshore.core import BalancerCore, CoreConfig
-from currantshore.internal import daemon
 from currantshore.internal.counters import Count
 from currantshore.internal.events import CallerDatagram, ConfigurationChanged
+from currantshore.internal.process import daemon
 from currantshore.internal.snapshot import PoolSnapshot
 from currantshore.wire import Endpoint
 from standins import users
--- a/bench/flows.py
+++ b/bench/flows.py
@@ -24,11 +24,11 @@
     SendToCaller,
     SendToPeer,
 )
-from currantshore.internal.flowplane import FlowPlane
-from currantshore.internal.flowtable import FlowTable
+from currantshore.internal.flows.flowplane import FlowPlane
+from currantshore.internal.flows.flowtable import FlowTable
+from currantshore.internal.flows.placement import PlacementTable
 from currantshore.internal.hashing import flow_key
 from currantshore.internal.peerwire import LookupReply, seal
-from currantshore.internal.placement import PlacementTable
 from currantshore.internal.snapshot import (
     BackendServer,
     BackendState,
--- a/bench/healthcosts.py
+++ b/bench/healthcosts.py
@@ -16,7 +16,7 @@
 from currantshore.internal import peerwire
 from currantshore.internal.counters import Counters
 from currantshore.internal.events import Action, SendToBackend, SendToPeer
-from currantshore.internal.health import HealthPlane
+from currantshore.internal.healthchecks.health import HealthPlane
 from currantshore.internal.snapshot import PoolSnapshot
 from currantshore.internal.views import LiveView, PeerView
 
--- a/bench/operators.py
+++ b/bench/operators.py
@@ -29,10 +29,11 @@
 import msgspec
 
 from currantshore.errors import VersionConflictError
-from currantshore.internal import operations
 from currantshore.internal.counters import Counters
-from currantshore.internal.inforce import encode_record, read_in_force
-from currantshore.internal.platform import PlatformClient
+from currantshore.internal.objectapi.platform import PlatformClient
+from currantshore.internal.operators import operations
+from currantshore.internal.operators.inforce import encode_record, read_in_force
+from currantshore.internal.operators.status import encode_status
 from currantshore.internal.snapshot import (
     BackendServer,
     HostStatus,
@@ -44,7 +45,6 @@
     pool_key,
     service_key,
 )
-from currantshore.internal.status import encode_status
 from currantshore.wire import Endpoint
 from standins.platform import Faults, PlatformStandin
 
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -17,15 +17,15 @@
 
 from currantshore import wire
 from currantshore.internal import hashing
-from currantshore.internal.capacity import AdmissionMode
 from currantshore.internal.counters import Count, Counters
 from currantshore.internal.events import (
     Action,
     SendToBackend,
     SendToCaller,
 )
-from currantshore.internal.executorchoice import executor_hosts
-from currantshore.internal.requestplane import RequestPlane
+from currantshore.internal.requests.capacity import AdmissionMode
+from currantshore.internal.requests.executorchoice import executor_hosts
+from currantshore.internal.requests.requestplane import RequestPlane
 from currantshore.internal.snapshot import (
     BackendServer,
     PoolMembers,
--- a/bench/poolcosts.py
+++ b/bench/poolcosts.py
@@ -15,7 +15,7 @@
 )
 from currantshore.internal import peerwire
 from currantshore.internal.hashing import short_hash
-from currantshore.internal.membership import HEARTBEAT_INTERVAL_S
+from currantshore.internal.members.membership import HEARTBEAT_INTERVAL_S
 from currantshore.internal.snapshot import PoolSnapshot
 
 Figures: TypeAlias = dict[str, Any]
--- a/bench/statecosts.py
+++ b/bench/statecosts.py
@@ -25,8 +25,8 @@
     SendToBackend,
 )
 from currantshore.internal.hashing import stable_hash
-from currantshore.internal.health import HealthPlane
-from currantshore.internal.protos import peers_pb2
+from currantshore.internal.healthchecks.health import HealthPlane
+from currantshore.internal.process.protos import peers_pb2
 from currantshore.internal.snapshot import PoolSnapshot
 
 Figures: TypeAlias = dict[str, Any]
--- a/bench/virtualpool.py
+++ b/bench/virtualpool.py
@@ -20,7 +20,7 @@
     FetchConfiguration,
     SendToPeer,
 )
-from currantshore.internal.membership import MembershipPlane
+from currantshore.internal.members.membership import MembershipPlane
 from currantshore.internal.snapshot import (
     BackendServer,
     PoolHost,
--- a/src/currantshore/cli.py
+++ b/src/currantshore/cli.py
@@ -26,13 +26,18 @@
     CurrantshoreError,
     InvalidArgumentError,
 )
-from currantshore.internal import operations
-from currantshore.internal.operatorsettings import (
+from currantshore.internal.objectapi.platform import PlatformClient
+from currantshore.internal.operators import operations
+from currantshore.internal.operators.operatorsettings import (
     OperatorSettings,
     find_address_map,
 )
-from currantshore.internal.platform import PlatformClient
-from currantshore.internal.textreports import (
+from currantshore.internal.operators.status import (
+    StatusView,
+    read_view,
+    wait_until_in_force,
+)
+from currantshore.internal.operators.textreports import (
     ExitCode,
     Failure,
     NotInForceError,
@@ -43,11 +48,6 @@
     progress_line,
     status_report,
 )
-from currantshore.internal.status import (
-    StatusView,
-    read_view,
-    wait_until_in_force,
-)
 from currantshore.planning import (
     apply_plan,
     decode_plan,
@@ -353,7 +353,7 @@
 
 def _run_balancer(argv: list[str]) -> int:
     # The balancer's libraries are not needed for the other commands.
-    from currantshore.internal.daemon import run_balancer
+    from currantshore.internal.process.daemon import run_balancer
 
     return run_balancer(argv)
 
--- a/src/currantshore/core.py
+++ b/src/currantshore/core.py
@@ -3,7 +3,6 @@
 from typing import Final, TypeAlias
 
 from currantshore.errors import InvalidArgumentError
-from currantshore.internal import configuration, fastpath
 from currantshore.internal.callerintake import CallerIntake
 from currantshore.internal.counters import Count, Counters
 from currantshore.internal.events import (
@@ -19,6 +18,8 @@
     RequestsHandedOver,
 )
 from currantshore.internal.fabricintake import FabricIntake
+from currantshore.internal.flows import fastpath
+from currantshore.internal.members import configuration
 from currantshore.internal.parts import CoreConfig, CoreParts
 from currantshore.internal.snapshot import (
     HostState,
--- a/src/currantshore/declarations.py
+++ b/src/currantshore/declarations.py
@@ -16,13 +16,13 @@
 import msgspec
 
 from currantshore.errors import DeclarationError
-from currantshore.internal.declaration_checks import (
+from currantshore.internal.operators.declaration_checks import (
     DeclarationFile,
     check_files,
     find_endpoint,
     parse_endpoint,
 )
-from currantshore.internal.faults import Faults, Table, convert_table
+from currantshore.internal.operators.faults import Faults, Table, convert_table
 from currantshore.internal.snapshot import (
     BackendServer,
     BackendState,
--- /dev/null
+++ b/src/currantshore/internal/flows/__init__.py
@@ -0,0 +1,1 @@
+"""Flow placement of the decision core."""
--- a/src/currantshore/internal/addressing.py
+++ b/src/currantshore/internal/flows/addressing.py
@@ -6,13 +6,13 @@
 
 import numpy as np
 
-from currantshore.internal.backends import BackendSlots
-from currantshore.internal.change import NO_VERSION
 from currantshore.internal.counters import Counters
-from currantshore.internal.exceptions import as_arrays, pack, unpack
-from currantshore.internal.handovers import Handover, HandoverLedger
-from currantshore.internal.flowpeers import PeerChange, Peers
-from currantshore.internal.placement import Mask, Numbers, Slots
+from currantshore.internal.flows.backends import BackendSlots
+from currantshore.internal.flows.change import NO_VERSION
+from currantshore.internal.flows.exceptions import as_arrays, pack, unpack
+from currantshore.internal.flows.flowpeers import PeerChange, Peers
+from currantshore.internal.flows.handovers import Handover, HandoverLedger
+from currantshore.internal.flows.placement import Mask, Numbers, Slots
 from currantshore.internal.views import BackendHealth
 
 
--- a/src/currantshore/internal/asking.py
+++ b/src/currantshore/internal/flows/asking.py
@@ -1,18 +1,18 @@
 """Lookups of one service: asking owners and answering as an owner."""
 
 from currantshore.codes import DropReason, RetryReason
-from currantshore.internal.addressing import PlaneContext
 from currantshore.internal.counters import Count
 from currantshore.internal.events import Action, SendToPeer
-from currantshore.internal.lookups import (
+from currantshore.internal.flows.addressing import PlaneContext
+from currantshore.internal.flows.lookups import (
     LookupKind,
     LookupQueue,
     PendingLookup,
     add_packet,
 )
+from currantshore.internal.flows.placement import NO_SLOT
+from currantshore.internal.flows.placing import FlowPlacer
 from currantshore.internal.peerwire import Lookup, LookupReply, seal
-from currantshore.internal.placement import NO_SLOT
-from currantshore.internal.placing import FlowPlacer
 from currantshore.wire import Endpoint, Message
 
 
--- a/src/currantshore/internal/backends.py
+++ b/src/currantshore/internal/flows/backends.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from currantshore.internal.placement import NO_SLOT, PlacementTable
+from currantshore.internal.flows.placement import NO_SLOT, PlacementTable
 from currantshore.internal.snapshot import (
     BackendServer,
     BackendState,
--- a/src/currantshore/internal/change.py
+++ b/src/currantshore/internal/flows/change.py
@@ -11,8 +11,8 @@
 
 import numpy as np
 
-from currantshore.internal.flowpeers import Peers
-from currantshore.internal.placement import Mask, PlacementTable
+from currantshore.internal.flows.flowpeers import Peers
+from currantshore.internal.flows.placement import Mask, PlacementTable
 from currantshore.internal.snapshot import ServiceSnapshot
 
 # Live views of two balancers differ by up to two heartbeat intervals. A second
--- a/src/currantshore/internal/exceptions.py
+++ b/src/currantshore/internal/flows/exceptions.py
@@ -9,14 +9,14 @@
 
 import numpy as np
 
-from currantshore.internal.flowtable import (
+from currantshore.internal.flows.flowtable import (
     FINGERPRINT_MASK,
     FINGERPRINT_SIZE_BYTES,
     FlowTable,
     is_framed,
     slot_of,
 )
-from currantshore.internal.placement import Numbers, PlacementTable, Slots
+from currantshore.internal.flows.placement import Numbers, PlacementTable, Slots
 
 _KEY_SIZE_BYTES: Final = 8
 
--- a/src/currantshore/internal/fastpath.py
+++ b/src/currantshore/internal/flows/fastpath.py
@@ -11,8 +11,8 @@
 import xxhash
 
 from currantshore.internal.counters import Count, Counters
-from currantshore.internal.flowtable import FINGERPRINT_MASK, slot_of
-from currantshore.internal.placing import FlowPlacer
+from currantshore.internal.flows.flowtable import FINGERPRINT_MASK, slot_of
+from currantshore.internal.flows.placing import FlowPlacer
 from currantshore.wire import (
     FRAME_MARK,
     MAX_DATAGRAM_SIZE_BYTES,
--- a/src/currantshore/internal/flowpeers.py
+++ b/src/currantshore/internal/flows/flowpeers.py
@@ -6,8 +6,8 @@
 
 import numpy as np
 
-from currantshore.internal.ownership import Owners
-from currantshore.internal.placement import Mask, Numbers
+from currantshore.internal.flows.ownership import Owners
+from currantshore.internal.flows.placement import Mask, Numbers
 from currantshore.internal.views import LiveView
 
 # Own digests to compare with those of peers; a peer further behind than this
--- a/src/currantshore/internal/flowplane.py
+++ b/src/currantshore/internal/flows/flowplane.py
@@ -4,7 +4,6 @@
 
 from currantshore.codes import DropReason, ResultCode, RetryReason
 from currantshore.errors import InvalidArgumentError
-from currantshore.internal.addressing import PlaneContext
 from currantshore.internal.counters import Count, Counters
 from currantshore.internal.events import (
     Action,
@@ -13,21 +12,22 @@
     SendToBackend,
     SendToCaller,
 )
-from currantshore.internal.executorchoice import choose_executor
-from currantshore.internal.flowtable import (
+from currantshore.internal.flows.addressing import PlaneContext
+from currantshore.internal.flows.flowpeers import Peers
+from currantshore.internal.flows.flowtable import (
     FINGERPRINT_MASK,
     entry_of,
     is_framed,
 )
-from currantshore.internal.handovers import HandoverLedger
+from currantshore.internal.flows.handovers import HandoverLedger
+from currantshore.internal.flows.placement import NO_SLOT
+from currantshore.internal.flows.placing import FlowPlacer
+from currantshore.internal.flows.tracking import ServiceFlows
 from currantshore.internal.hashing import flow_key as key_of
-from currantshore.internal.flowpeers import Peers
 from currantshore.internal.peerwire import Lookup, LookupReply
-from currantshore.internal.placement import NO_SLOT
-from currantshore.internal.placing import FlowPlacer
+from currantshore.internal.requests.executorchoice import choose_executor
 from currantshore.internal.snapshot import PoolSnapshot
 from currantshore.internal.tokens import FlowToken, TokenSealer
-from currantshore.internal.tracking import ServiceFlows
 from currantshore.internal.turns import Turns
 from currantshore.internal.views import BackendHealth, LiveView
 from currantshore.wire import (
--- a/src/currantshore/internal/ownership.py
+++ b/src/currantshore/internal/flows/ownership.py
@@ -10,7 +10,11 @@
 
 import numpy as np
 
-from currantshore.internal.placement import Mask, Numbers, rendezvous_weights
+from currantshore.internal.flows.placement import (
+    Mask,
+    Numbers,
+    rendezvous_weights,
+)
 
 # Spreads the exceptions of one backend server over 64 hosts evenly enough and
 # keeps the ranking of a pool under 1 MB. A power of two.
--- a/src/currantshore/internal/placing.py
+++ b/src/currantshore/internal/flows/placing.py
@@ -1,20 +1,20 @@
 """Where the flows of one service go on this balancer."""
 
 from currantshore.codes import DropReason, ResultCode
-from currantshore.internal.addressing import PlaneContext
-from currantshore.internal.backends import BackendSlots
-from currantshore.internal.change import PlacementChange
 from currantshore.internal.counters import Count
 from currantshore.internal.events import Action, SendToBackend, SendToCaller
-from currantshore.internal.exceptions import ExceptionTable
-from currantshore.internal.flowtable import (
+from currantshore.internal.flows.addressing import PlaneContext
+from currantshore.internal.flows.backends import BackendSlots
+from currantshore.internal.flows.change import PlacementChange
+from currantshore.internal.flows.exceptions import ExceptionTable
+from currantshore.internal.flows.flowtable import (
     FINGERPRINT_MASK,
     FlowTable,
     entry_of,
     slot_of,
 )
-from currantshore.internal.placement import NO_SLOT
-from currantshore.internal.sharing import ExceptionSharing
+from currantshore.internal.flows.placement import NO_SLOT
+from currantshore.internal.flows.sharing import ExceptionSharing
 from currantshore.internal.snapshot import ServiceSnapshot
 from currantshore.wire import Endpoint, Forwarded, Refusal, encode
 
--- a/src/currantshore/internal/sharing.py
+++ b/src/currantshore/internal/flows/sharing.py
@@ -8,18 +8,18 @@
 from collections.abc import Iterable, Mapping
 from typing import Final
 
-from currantshore.internal.addressing import Addressing, PlaneContext
-from currantshore.internal.backends import BackendSlots
-from currantshore.internal.change import NO_VERSION, PlacementChange
 from currantshore.internal.events import Action, FlowsHandedOver
-from currantshore.internal.exceptions import (
+from currantshore.internal.flows.addressing import Addressing, PlaneContext
+from currantshore.internal.flows.backends import BackendSlots
+from currantshore.internal.flows.change import NO_VERSION, PlacementChange
+from currantshore.internal.flows.exceptions import (
     ExceptionTable,
     misplaced,
     opaque,
 )
-from currantshore.internal.flowtable import FlowTable, entry_of
-from currantshore.internal.handovers import Handover
-from currantshore.internal.flowpeers import PeerChange
+from currantshore.internal.flows.flowpeers import PeerChange
+from currantshore.internal.flows.flowtable import FlowTable, entry_of
+from currantshore.internal.flows.handovers import Handover
 
 # Groups late exceptions; a killed balancer loses those of this time.
 _FLUSH_INTERVAL_S: Final = 0.25
--- a/src/currantshore/internal/tracking.py
+++ b/src/currantshore/internal/flows/tracking.py
@@ -1,12 +1,12 @@
 """State of one service in the flow part of the core."""
 
-from currantshore.internal.addressing import PlaneContext
-from currantshore.internal.asking import LookupDesk
 from currantshore.internal.counters import Count
 from currantshore.internal.events import Action
-from currantshore.internal.flowpeers import PeerChange
-from currantshore.internal.placement import NO_SLOT
-from currantshore.internal.placing import FlowPlacer
+from currantshore.internal.flows.addressing import PlaneContext
+from currantshore.internal.flows.asking import LookupDesk
+from currantshore.internal.flows.flowpeers import PeerChange
+from currantshore.internal.flows.placement import NO_SLOT
+from currantshore.internal.flows.placing import FlowPlacer
 from currantshore.internal.snapshot import ServiceSnapshot
 from currantshore.wire import Endpoint
 
--- /dev/null
+++ b/src/currantshore/internal/healthchecks/__init__.py
@@ -0,0 +1,1 @@
+"""Backend server health of the decision core."""
--- a/src/currantshore/internal/health.py
+++ b/src/currantshore/internal/healthchecks/health.py
@@ -12,7 +12,7 @@
 
 from currantshore import wire
 from currantshore.codes import DropReason, ResultCode
-from currantshore.internal import peerwire, probing
+from currantshore.internal import peerwire
 from currantshore.internal.counters import Count, Counters
 from currantshore.internal.events import (
     Action,
@@ -20,17 +20,21 @@
     SendToCaller,
     SendToPeer,
 )
-from currantshore.internal.reports import Reports
-from currantshore.internal.silence import SilenceTracker, SilentFlow
+from currantshore.internal.healthchecks import probing
+from currantshore.internal.healthchecks.reports import Reports
+from currantshore.internal.healthchecks.silence import (
+    SilenceTracker,
+    SilentFlow,
+)
+from currantshore.internal.healthchecks.suspicion import SelfSuspicion
+from currantshore.internal.healthchecks.verdicts import Verdict
+from currantshore.internal.healthchecks.votes import QUORUM, Votes
 from currantshore.internal.snapshot import (
     BackendServer,
     BackendState,
     PoolSnapshot,
 )
-from currantshore.internal.suspicion import SelfSuspicion
-from currantshore.internal.verdicts import Verdict
 from currantshore.internal.views import LiveView
-from currantshore.internal.votes import QUORUM, Votes
 
 _REPEAT_FANOUT: Final = 4
 _MAX_FULL_MESH_PEERS: Final = 7
--- a/src/currantshore/internal/suspicion.py
+++ b/src/currantshore/internal/healthchecks/suspicion.py
@@ -3,7 +3,7 @@
 from collections.abc import Collection, Mapping
 from typing import Final
 
-from currantshore.internal.verdicts import Verdict
+from currantshore.internal.healthchecks.verdicts import Verdict
 
 # A row of hosts on one power feed is far less than this share of the backend
 # servers of a pool; a cut cable of this host is all of them.
--- /dev/null
+++ b/src/currantshore/internal/members/__init__.py
@@ -0,0 +1,1 @@
+"""Membership and configuration versions of the decision core."""
--- a/src/currantshore/internal/fetching.py
+++ b/src/currantshore/internal/members/fetching.py
@@ -11,7 +11,7 @@
 from typing import Final
 
 from currantshore.internal import chartloader
-from currantshore.internal.configuration import NO_CONFIGURATION
+from currantshore.internal.members.configuration import NO_CONFIGURATION
 
 _CHART: Final = chartloader.load('configuration')
 _FETCHING: Final = frozenset(('fetching', 'fetching_first'))
--- a/src/currantshore/internal/heartbeats.py
+++ b/src/currantshore/internal/members/heartbeats.py
@@ -3,8 +3,9 @@
 from collections.abc import Mapping, Sequence
 from typing import Final
 
-from currantshore.internal import packing, peerwire
-from currantshore.internal.roster import Member
+from currantshore.internal import peerwire
+from currantshore.internal.members import packing
+from currantshore.internal.members.roster import Member
 
 MAX_HEARTBEAT_SIZE_BYTES: Final = 700
 # Demands are for slot shares; those of idle services change nothing.
--- a/src/currantshore/internal/liveset.py
+++ b/src/currantshore/internal/members/liveset.py
@@ -3,8 +3,9 @@
 from collections.abc import Iterable, Mapping
 from typing import Final
 
-from currantshore.internal import packing, peerwire
-from currantshore.internal.roster import Member
+from currantshore.internal import peerwire
+from currantshore.internal.members import packing
+from currantshore.internal.members.roster import Member
 from currantshore.internal.snapshot import PoolSnapshot
 from currantshore.internal.views import LiveView, PeerView
 
--- a/src/currantshore/internal/membership.py
+++ b/src/currantshore/internal/members/membership.py
@@ -13,13 +13,14 @@
 
 from currantshore.codes import RetryReason
 from currantshore.errors import InvalidArgumentError
-from currantshore.internal import configuration, hashing, peerwire
+from currantshore.internal import hashing, peerwire
 from currantshore.internal.counters import Count, Counters
 from currantshore.internal.events import Action, FetchConfiguration, SendToPeer
-from currantshore.internal.fetching import ConfigurationFetcher
-from currantshore.internal.heartbeats import HeartbeatBuilder
-from currantshore.internal.liveset import LiveSet, MAX_INCARNATION
-from currantshore.internal.roster import Member
+from currantshore.internal.members import configuration
+from currantshore.internal.members.fetching import ConfigurationFetcher
+from currantshore.internal.members.heartbeats import HeartbeatBuilder
+from currantshore.internal.members.liveset import MAX_INCARNATION, LiveSet
+from currantshore.internal.members.roster import Member
 from currantshore.internal.snapshot import PoolSnapshot
 from currantshore.internal.views import LiveView
 
--- a/src/currantshore/internal/packing.py
+++ b/src/currantshore/internal/members/packing.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterator, Sequence
 from typing import Final, NamedTuple
 
-from currantshore.internal.roster import Member
+from currantshore.internal.members.roster import Member
 
 # Low 16 bits of the pool object's version, first place, number of places.
 _HEADER: Final = struct.Struct('>HBB')
--- /dev/null
+++ b/src/currantshore/internal/objectapi/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's object API and its records."""
--- a/src/currantshore/internal/platform.py
+++ b/src/currantshore/internal/objectapi/platform.py
@@ -2,7 +2,7 @@
 
 Reads are tried again with jittered, bounded backoff. A conditional write whose
 answer was lost is settled by reading the object back and looking for its
-writer id (see ``internal/objects``).
+writer id (see ``internal/objectapi/objects``).
 """
 
 import asyncio
@@ -21,7 +21,7 @@
     VersionConflictError,
 )
 from currantshore.internal.counters import Counters
-from currantshore.internal.objects import (
+from currantshore.internal.objectapi.objects import (
     Changes,
     Listing,
     PlatformHost,
@@ -32,7 +32,7 @@
     extend_trail,
     newest_writer,
 )
-from currantshore.internal.platformcalls import (
+from currantshore.internal.objectapi.platformcalls import (
     MissingObjectError,
     PlatformCalls,
 )
--- /dev/null
+++ b/src/currantshore/internal/operators/__init__.py
@@ -0,0 +1,1 @@
+"""What the operators' commands are made of."""
--- a/src/currantshore/internal/answers.py
+++ b/src/currantshore/internal/operators/answers.py
@@ -13,7 +13,12 @@
 import msgspec
 
 from currantshore.errors import DeclarationError
-from currantshore.internal.faults import Faults, Table, convert_table, rows
+from currantshore.internal.operators.faults import (
+    Faults,
+    Table,
+    convert_table,
+    rows,
+)
 
 _NAME_PATTERN: Final = '^[a-z0-9][a-z0-9-]{0,62}$'
 _NAME: Final = '1 to 63 lower-case letters, digits and hyphens'
--- a/src/currantshore/internal/declaration_checks.py
+++ b/src/currantshore/internal/operators/declaration_checks.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from currantshore.errors import InvalidArgumentError
-from currantshore.internal.faults import Faults, Table, rows
+from currantshore.internal.operators.faults import Faults, Table, rows
 from currantshore.internal.snapshot import MAX_BUCKET_COUNT
 from currantshore.wire import Endpoint
 
--- a/src/currantshore/internal/differences.py
+++ b/src/currantshore/internal/operators/differences.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from currantshore.internal.figures import BUCKETS_PER_BACKEND
+from currantshore.internal.operators.figures import BUCKETS_PER_BACKEND
 from currantshore.internal.snapshot import (
     BackendServer,
     BackendState,
--- a/src/currantshore/internal/figures.py
+++ b/src/currantshore/internal/operators/figures.py
@@ -8,7 +8,11 @@
 from collections.abc import Sequence
 from typing import Final, Generic, TypeVar
 
-from currantshore.internal.answers import Answers, Concern, ServiceAnswers
+from currantshore.internal.operators.answers import (
+    Answers,
+    Concern,
+    ServiceAnswers,
+)
 from currantshore.internal.snapshot import MAX_BUCKET_COUNT
 
 _FigureT = TypeVar('_FigureT')
--- a/src/currantshore/internal/inforce.py
+++ b/src/currantshore/internal/operators/inforce.py
@@ -13,9 +13,9 @@
 import msgspec
 
 from currantshore.errors import PlatformError
-from currantshore.internal.objects import PlatformObject
-from currantshore.internal.platform import PlatformClient
-from currantshore.internal.records import merge_objects, pool_prefix
+from currantshore.internal.objectapi.objects import PlatformObject
+from currantshore.internal.objectapi.platform import PlatformClient
+from currantshore.internal.objectapi.records import merge_objects, pool_prefix
 from currantshore.internal.snapshot import (
     PoolMembers,
     PoolSnapshot,
--- a/src/currantshore/internal/interview.py
+++ b/src/currantshore/internal/operators/interview.py
@@ -8,8 +8,12 @@
 import msgspec
 
 from currantshore.errors import InvalidArgumentError
-from currantshore.internal.answers import Answers
-from currantshore.internal.faults import Table, describe_type, row_kind
+from currantshore.internal.operators.answers import Answers
+from currantshore.internal.operators.faults import (
+    Table,
+    describe_type,
+    row_kind,
+)
 
 Ask: TypeAlias = Callable[[str], str]
 Tell: TypeAlias = Callable[[str], None]
--- a/src/currantshore/internal/operations.py
+++ b/src/currantshore/internal/operators/operations.py
@@ -17,14 +17,15 @@
     PlanRefusedError,
     VersionConflictError,
 )
-from currantshore.internal.inforce import (
+from currantshore.internal.objectapi.objects import Written
+from currantshore.internal.objectapi.platform import PlatformClient
+from currantshore.internal.operators.inforce import (
     InForce,
     encode_record,
     read_in_force,
 )
-from currantshore.internal.objects import Written
-from currantshore.internal.platform import PlatformClient
-from currantshore.internal.promises import drain_faults, leave_faults
+from currantshore.internal.operators.promises import drain_faults, leave_faults
+from currantshore.internal.operators.writers import check_operator, operator_of
 from currantshore.internal.snapshot import (
     BackendServer,
     BackendState,
@@ -36,7 +37,6 @@
     pool_key,
     service_key,
 )
-from currantshore.internal.writers import check_operator, operator_of
 
 # More conflicts in a row mean that something writes without end.
 MAX_CONFLICTS: Final = 16
--- a/src/currantshore/internal/operatorsettings.py
+++ b/src/currantshore/internal/operators/operatorsettings.py
@@ -11,7 +11,7 @@
 from typing import Final, Self
 
 from currantshore.errors import InvalidArgumentError, SettingsError
-from currantshore.internal.writers import check_operator
+from currantshore.internal.operators.writers import check_operator
 
 _PREFIX: Final = 'CURRANTSHORE_'
 _DEFAULT_TIMEOUT_S: Final = '2.0'
--- a/src/currantshore/internal/overlay.py
+++ b/src/currantshore/internal/operators/overlay.py
@@ -5,21 +5,24 @@
 import msgspec
 
 from currantshore.errors import PlanRefusedError
-from currantshore.internal.differences import members_lines, service_lines
-from currantshore.internal.inforce import (
+from currantshore.internal.objectapi.objects import PlatformObject
+from currantshore.internal.operators.differences import (
+    members_lines,
+    service_lines,
+)
+from currantshore.internal.operators.inforce import (
     InForce,
     Record,
     decode_record,
     records_by_key,
 )
-from currantshore.internal.objects import PlatformObject
+from currantshore.internal.operators.writers import operator_of
 from currantshore.internal.snapshot import (
     PoolMembers,
     PoolSnapshot,
     ServiceSnapshot,
     pool_key,
 )
-from currantshore.internal.writers import operator_of
 
 
 def overlay(
--- a/src/currantshore/internal/plansteps.py
+++ b/src/currantshore/internal/operators/plansteps.py
@@ -5,7 +5,9 @@
 
 import msgspec
 
-from currantshore.internal.inforce import (
+from currantshore.internal.objectapi.objects import PlatformObject
+from currantshore.internal.objectapi.platform import PlatformClient
+from currantshore.internal.operators.inforce import (
     AddressClaim,
     InForce,
     Record,
@@ -15,8 +17,6 @@
     records_by_key,
     retire,
 )
-from currantshore.internal.objects import PlatformObject
-from currantshore.internal.platform import PlatformClient
 from currantshore.internal.snapshot import (
     PoolSnapshot,
     ServiceSnapshot,
--- a/src/currantshore/internal/promises.py
+++ b/src/currantshore/internal/operators/promises.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator, Sequence
 from typing import Final, TypeVar
 
+from currantshore.internal.operators.status import PoolStatus, open_flows
 from currantshore.internal.snapshot import (
     BackendServer,
     BackendState,
@@ -18,7 +19,6 @@
     PoolSnapshot,
     ServiceSnapshot,
 )
-from currantshore.internal.status import PoolStatus, open_flows
 from currantshore.wire import Endpoint
 
 # Shares are decimal fractions; their sum may be off by rounding.
--- a/src/currantshore/internal/status.py
+++ b/src/currantshore/internal/operators/status.py
@@ -13,9 +13,9 @@
 import msgspec
 
 from currantshore.errors import PlatformError, PlatformUnavailableError
-from currantshore.internal.inforce import InForce, read_in_force
-from currantshore.internal.platform import PlatformClient
-from currantshore.internal.records import status_key
+from currantshore.internal.objectapi.platform import PlatformClient
+from currantshore.internal.objectapi.records import status_key
+from currantshore.internal.operators.inforce import InForce, read_in_force
 from currantshore.internal.snapshot import (
     BackendState,
     HostState,
--- a/src/currantshore/internal/textreports.py
+++ b/src/currantshore/internal/operators/textreports.py
@@ -17,8 +17,8 @@
     SettingsError,
     VersionConflictError,
 )
-from currantshore.internal.operations import Outcome
-from currantshore.internal.status import HostView, StatusView
+from currantshore.internal.operators.operations import Outcome
+from currantshore.internal.operators.status import HostView, StatusView
 from currantshore.planning import Plan, StepResult
 
 
--- a/src/currantshore/internal/tomltext.py
+++ b/src/currantshore/internal/operators/tomltext.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 from typing import Final, TypeAlias
 
-from currantshore.internal.faults import Table
+from currantshore.internal.operators.faults import Table
 
 TomlValue: TypeAlias = str | int | float | bool | Sequence[str]
 
--- a/src/currantshore/internal/parts.py
+++ b/src/currantshore/internal/parts.py
@@ -4,10 +4,10 @@
 import random
 
 from currantshore.internal.counters import Counters
-from currantshore.internal.flowplane import FlowPlane
-from currantshore.internal.health import HealthPlane
-from currantshore.internal.membership import MembershipPlane
-from currantshore.internal.requestplane import RequestPlane
+from currantshore.internal.flows.flowplane import FlowPlane
+from currantshore.internal.healthchecks.health import HealthPlane
+from currantshore.internal.members.membership import MembershipPlane
+from currantshore.internal.requests.requestplane import RequestPlane
 from currantshore.internal.snapshot import PoolSnapshot
 from currantshore.internal.tokens import TokenSealer
 
--- a/src/currantshore/internal/peerwire.py
+++ b/src/currantshore/internal/peerwire.py
@@ -23,7 +23,7 @@
     (incarnation, counter) known of it. ``configuration_digest`` is a hash of
     the versions held; ``prepared_digest`` is the digest up to which the sender
     prepared every change and had its handovers acknowledged. ``members`` holds
-    the packed liveness of the pool (see ``internal/packing``). Without
+    the packed liveness of the pool (see ``internal/members/packing``). Without
     ``has_demands`` the demands are those of the heartbeat before.
     """
 
--- /dev/null
+++ b/src/currantshore/internal/process/__init__.py
@@ -0,0 +1,1 @@
+"""The balancer process around the decision core."""
--- a/src/currantshore/internal/balancer.py
+++ b/src/currantshore/internal/process/balancer.py
@@ -8,18 +8,18 @@
 from typing import Final
 
 from currantshore.core import BalancerCore, CoreConfig
-from currantshore.internal.admin import AdminServer
-from currantshore.internal.datagrams import Datagrams
-from currantshore.internal.driver import CoreDriver, CoreInput
 from currantshore.internal.events import LeaveRequested
-from currantshore.internal.following import PlatformFollower
-from currantshore.internal.logs import get_logger
-from currantshore.internal.metrics import MetricSources, build_registry
-from currantshore.internal.peers import Peers
-from currantshore.internal.platform import PlatformClient
-from currantshore.internal.rpc import PeerClient, serve_peers
-from currantshore.internal.runtime import LoopRoot
-from currantshore.internal.settings import Settings
+from currantshore.internal.objectapi.platform import PlatformClient
+from currantshore.internal.process.admin import AdminServer
+from currantshore.internal.process.datagrams import Datagrams
+from currantshore.internal.process.driver import CoreDriver, CoreInput
+from currantshore.internal.process.following import PlatformFollower
+from currantshore.internal.process.logs import get_logger
+from currantshore.internal.process.metrics import MetricSources, build_registry
+from currantshore.internal.process.peers import Peers
+from currantshore.internal.process.rpc import PeerClient, serve_peers
+from currantshore.internal.process.runtime import LoopRoot
+from currantshore.internal.process.settings import Settings
 from currantshore.internal.snapshot import PoolSnapshot
 from currantshore.wire import Endpoint
 
--- a/src/currantshore/internal/daemon.py
+++ b/src/currantshore/internal/process/daemon.py
@@ -7,9 +7,13 @@
 from collections.abc import Sequence
 
 from currantshore.errors import SettingsError
-from currantshore.internal.balancer import Balancer
-from currantshore.internal.logs import configure_logs, get_logger
-from currantshore.internal.settings import ExitCode, Settings, load_settings
+from currantshore.internal.process.balancer import Balancer
+from currantshore.internal.process.logs import configure_logs, get_logger
+from currantshore.internal.process.settings import (
+    ExitCode,
+    Settings,
+    load_settings,
+)
 
 
 async def serve(settings: Settings) -> ExitCode:
--- a/src/currantshore/internal/driver.py
+++ b/src/currantshore/internal/process/driver.py
@@ -7,7 +7,6 @@
 from circuits import Component, Event, handler
 
 from currantshore.core import BalancerCore
-from currantshore.internal.datagrams import Batch, Datagrams
 from currantshore.internal.events import (
     Action,
     BackendDatagram,
@@ -20,6 +19,7 @@
     SendToCaller,
     SendToPeer,
 )
+from currantshore.internal.process.datagrams import Batch, Datagrams
 from currantshore.internal.snapshot import PoolSnapshot
 from currantshore.wire import Endpoint
 
--- a/src/currantshore/internal/following.py
+++ b/src/currantshore/internal/process/following.py
@@ -8,13 +8,13 @@
 
 from currantshore.core import BalancerCore
 from currantshore.errors import PlatformError, VersionConflictError
-from currantshore.internal.logs import get_logger
-from currantshore.internal.records import pool_prefix, status_key
-from currantshore.internal.peers import Peers
-from currantshore.internal.objects import PlatformObject
-from currantshore.internal.platform import PlatformClient
-from currantshore.internal.settings import Settings
-from currantshore.internal.status import encode_status
+from currantshore.internal.objectapi.objects import PlatformObject
+from currantshore.internal.objectapi.platform import PlatformClient
+from currantshore.internal.objectapi.records import pool_prefix, status_key
+from currantshore.internal.operators.status import encode_status
+from currantshore.internal.process.logs import get_logger
+from currantshore.internal.process.peers import Peers
+from currantshore.internal.process.settings import Settings
 
 # A waiting watch is one call; a longer wait makes fewer calls, but a watcher
 # that was replaced keeps its watch for as long.
--- a/src/currantshore/internal/metrics.py
+++ b/src/currantshore/internal/process/metrics.py
@@ -10,7 +10,7 @@
 
 from currantshore.codes import DropReason, ResultCode, RetryReason
 from currantshore.internal.counters import Count, Counters
-from currantshore.internal.datagrams import BatchSocket
+from currantshore.internal.process.datagrams import BatchSocket
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/currantshore/internal/peers.py
+++ b/src/currantshore/internal/process/peers.py
@@ -8,19 +8,19 @@
 
 from currantshore.codes import RetryReason
 from currantshore.core import BalancerCore
-from currantshore.internal.driver import CoreInput, PeerAction
 from currantshore.internal.events import (
     ConfigurationChanged,
     FetchConfiguration,
     FlowsHandedOver,
+    HandoverFinished,
     HandOverFlows,
     HandOverRequests,
-    HandoverFinished,
     RequestsHandedOver,
 )
-from currantshore.internal.logs import get_logger
-from currantshore.internal.records import merge_objects
-from currantshore.internal.rpc import PeerCallError, PeerClient
+from currantshore.internal.objectapi.records import merge_objects
+from currantshore.internal.process.driver import CoreInput, PeerAction
+from currantshore.internal.process.logs import get_logger
+from currantshore.internal.process.rpc import PeerCallError, PeerClient
 from currantshore.internal.snapshot import PoolSnapshot
 from currantshore.wire import Endpoint
 
--- a/src/currantshore/internal/rpc.py
+++ b/src/currantshore/internal/process/rpc.py
@@ -26,7 +26,7 @@
     RequestsHandedOver,
 )
 from currantshore.internal.hashing import stable_hash
-from currantshore.internal.protos import peers_grpc, peers_pb2
+from currantshore.internal.process.protos import peers_grpc, peers_pb2
 from currantshore.internal.snapshot import (
     PoolMembers,
     PoolSnapshot,
--- a/src/currantshore/internal/settings.py
+++ b/src/currantshore/internal/process/settings.py
@@ -13,7 +13,7 @@
 from typing import Any, Final, NoReturn
 
 from currantshore.errors import SettingsError
-from currantshore.internal.logs import LOG_FORMATS, LOG_LEVELS
+from currantshore.internal.process.logs import LOG_FORMATS, LOG_LEVELS
 from currantshore.wire import Endpoint
 
 _PREFIX: Final = 'CURRANTSHORE_'
--- /dev/null
+++ b/src/currantshore/internal/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests and admission of the decision core."""
--- a/src/currantshore/internal/admission.py
+++ b/src/currantshore/internal/requests/admission.py
@@ -6,8 +6,8 @@
 from typing import Final
 
 from currantshore.codes import ResultCode
-from currantshore.internal.classqueue import ClassQueue
-from currantshore.internal.runs import Work
+from currantshore.internal.requests.classqueue import ClassQueue
+from currantshore.internal.requests.runs import Work
 from currantshore.internal.snapshot import PriorityClass
 
 # Slot time used longer ago than this hardly counts for guaranteed shares.
--- a/src/currantshore/internal/capacity.py
+++ b/src/currantshore/internal/requests/capacity.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterator, Mapping
 from typing import Final
 
-from currantshore.internal.limits import AdaptiveLimit
-from currantshore.internal.slotshares import SlotShares
+from currantshore.internal.requests.limits import AdaptiveLimit
+from currantshore.internal.requests.slotshares import SlotShares
 from currantshore.internal.snapshot import BackendServer
 from currantshore.internal.views import BackendHealth
 
--- a/src/currantshore/internal/classqueue.py
+++ b/src/currantshore/internal/requests/classqueue.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 from typing import Final
 
-from currantshore.internal.runs import Work
+from currantshore.internal.requests.runs import Work
 from currantshore.internal.snapshot import PriorityClass
 from currantshore.wire import Endpoint
 
--- a/src/currantshore/internal/executor.py
+++ b/src/currantshore/internal/requests/executor.py
@@ -10,13 +10,13 @@
 
 from currantshore import wire
 from currantshore.codes import DropReason, ResultCode
-from currantshore.internal.capacity import AdmissionMode, Capacity
 from currantshore.internal.counters import Count, Counters
-from currantshore.internal.executorchoice import executor_hosts
-from currantshore.internal.outcomes import Outcomes
-from currantshore.internal.requestlog import IdState
-from currantshore.internal.runs import RunIds, Work
-from currantshore.internal.servicerunner import ServiceRunner
+from currantshore.internal.requests.capacity import AdmissionMode, Capacity
+from currantshore.internal.requests.executorchoice import executor_hosts
+from currantshore.internal.requests.outcomes import Outcomes
+from currantshore.internal.requests.requestlog import IdState
+from currantshore.internal.requests.runs import RunIds, Work
+from currantshore.internal.requests.servicerunner import ServiceRunner
 from currantshore.internal.snapshot import ServiceSnapshot
 from currantshore.internal.turns import Turns
 from currantshore.internal.views import BackendHealth, LiveView
--- a/src/currantshore/internal/outcomes.py
+++ b/src/currantshore/internal/requests/outcomes.py
@@ -1,11 +1,11 @@
 """Ends requests: records ids, keeps answers, tells callers."""
 
 from currantshore.codes import ResultCode, is_not_run
-from currantshore.internal.answercache import AnswerCache, Outcome
 from currantshore.internal.counters import Count, Counters
 from currantshore.internal.events import Action
-from currantshore.internal.requestlogs import RequestLogs
-from currantshore.internal.runs import ActiveRun, RequestKey, Work
+from currantshore.internal.requests.answercache import AnswerCache, Outcome
+from currantshore.internal.requests.requestlogs import RequestLogs
+from currantshore.internal.requests.runs import ActiveRun, RequestKey, Work
 
 
 class Outcomes:
--- a/src/currantshore/internal/requesthandover.py
+++ b/src/currantshore/internal/requests/requesthandover.py
@@ -7,8 +7,8 @@
 
 from currantshore.codes import ResultCode
 from currantshore.errors import WireFormatError
-from currantshore.internal.requestlog import RequestLog
-from currantshore.internal.requestroutes import Process
+from currantshore.internal.requests.requestlog import RequestLog
+from currantshore.internal.requests.requestroutes import Process
 
 # A body of 8,192 ids is about 80 KB, well below a message limit of 4 MB.
 _IDS_IN_BODY: Final = 8192
--- a/src/currantshore/internal/requestintake.py
+++ b/src/currantshore/internal/requests/requestintake.py
@@ -8,16 +8,16 @@
 from currantshore.internal import peerwire
 from currantshore.internal.counters import Count, Counters
 from currantshore.internal.events import SendToPeer
-from currantshore.internal.exclusivity import Exclusivity
-from currantshore.internal.executor import Executor
-from currantshore.internal.requestlog import IdState
-from currantshore.internal.requestroutes import (
+from currantshore.internal.requests.exclusivity import Exclusivity
+from currantshore.internal.requests.executor import Executor
+from currantshore.internal.requests.requestlog import IdState
+from currantshore.internal.requests.requestroutes import (
     ExecutorRoutes,
     RelayTo,
     RunHere,
 )
-from currantshore.internal.runs import Work
-from currantshore.internal.succession import Succession
+from currantshore.internal.requests.runs import Work
+from currantshore.internal.requests.succession import Succession
 from currantshore.internal.tokens import FlowToken
 
 RequestOrCancel: TypeAlias = wire.Request | wire.Cancel
--- a/src/currantshore/internal/requestlogs.py
+++ b/src/currantshore/internal/requests/requestlogs.py
@@ -4,7 +4,10 @@
 from typing import Final, TypeAlias
 
 from currantshore.codes import ResultCode
-from currantshore.internal.requestlog import MAX_IDS_ABOVE_FLOOR, RequestLog
+from currantshore.internal.requests.requestlog import (
+    MAX_IDS_ABOVE_FLOOR,
+    RequestLog,
+)
 
 # 29 MB with one id for each flow; a flood of new flows cannot take more.
 MAX_FLOWS: Final = 65536
--- a/src/currantshore/internal/requestplane.py
+++ b/src/currantshore/internal/requests/requestplane.py
@@ -5,19 +5,19 @@
 
 from currantshore import wire
 from currantshore.internal import hashing, peerwire
-from currantshore.internal.capacity import AdmissionMode
 from currantshore.internal.counters import Count, Counters
 from currantshore.internal.events import Action, RequestsHandedOver
-from currantshore.internal.exclusivity import Exclusivity
-from currantshore.internal.executor import Executor
-from currantshore.internal.requestintake import (
+from currantshore.internal.requests.capacity import AdmissionMode
+from currantshore.internal.requests.exclusivity import Exclusivity
+from currantshore.internal.requests.executor import Executor
+from currantshore.internal.requests.requestintake import (
     Arrival,
     RequestIntake,
     RequestOrCancel,
 )
-from currantshore.internal.requestroutes import ExecutorRoutes
+from currantshore.internal.requests.requestroutes import ExecutorRoutes
+from currantshore.internal.requests.succession import Succession
 from currantshore.internal.snapshot import HostState, PoolSnapshot
-from currantshore.internal.succession import Succession
 from currantshore.internal.tokens import FlowToken
 from currantshore.internal.views import BackendHealth, LiveView
 
--- a/src/currantshore/internal/servicerunner.py
+++ b/src/currantshore/internal/requests/servicerunner.py
@@ -5,13 +5,13 @@
 
 from currantshore import wire
 from currantshore.codes import DropReason, ResultCode, RetryReason
-from currantshore.internal.admission import AdmissionQueue
-from currantshore.internal.capacity import Capacity
 from currantshore.internal.counters import Count, Counters
 from currantshore.internal.events import SendToBackend
-from currantshore.internal.outcomes import Outcomes
-from currantshore.internal.retrybudget import RetryBudget
-from currantshore.internal.runs import ActiveRun, RunIds, Work
+from currantshore.internal.requests.admission import AdmissionQueue
+from currantshore.internal.requests.capacity import Capacity
+from currantshore.internal.requests.outcomes import Outcomes
+from currantshore.internal.requests.retrybudget import RetryBudget
+from currantshore.internal.requests.runs import ActiveRun, RunIds, Work
 from currantshore.internal.snapshot import BackendServer, ServiceSnapshot
 
 _MS_PER_S: Final = 1000
--- a/src/currantshore/internal/succession.py
+++ b/src/currantshore/internal/requests/succession.py
@@ -13,15 +13,15 @@
     RequestsHandedOver,
 )
 from currantshore.internal.hashing import ranked
-from currantshore.internal.requesthandover import (
+from currantshore.internal.requests.requesthandover import (
     HandoverBody,
     codes_of,
     decode_body,
-    encode_body,
     encode_bodies,
+    encode_body,
 )
-from currantshore.internal.requestlogs import RequestLogs
-from currantshore.internal.requestroutes import ExecutorRoutes
+from currantshore.internal.requests.requestlogs import RequestLogs
+from currantshore.internal.requests.requestroutes import ExecutorRoutes
 
 # The handover has no acknowledgement; its bodies are the same each time.
 _REPEAT_AFTER_S: Final = (1.0, 2.0)
--- a/src/currantshore/planning.py
+++ b/src/currantshore/planning.py
@@ -20,19 +20,23 @@
     PlanRefusedError,
     VersionConflictError,
 )
-from currantshore.internal.differences import describe_change
-from currantshore.internal.inforce import InForce, read_in_force
-from currantshore.internal.objects import PlatformObject
-from currantshore.internal.overlay import describe_conflict, overlay
-from currantshore.internal.plansteps import Step, compact_step, plan_steps
-from currantshore.internal.platform import PlatformClient
-from currantshore.internal.promises import (
+from currantshore.internal.objectapi.objects import PlatformObject
+from currantshore.internal.objectapi.platform import PlatformClient
+from currantshore.internal.operators.differences import describe_change
+from currantshore.internal.operators.inforce import InForce, read_in_force
+from currantshore.internal.operators.overlay import describe_conflict, overlay
+from currantshore.internal.operators.plansteps import (
+    Step,
+    compact_step,
+    plan_steps,
+)
+from currantshore.internal.operators.promises import (
     Evidence,
     broken_promises,
     faults_between_objects,
 )
-from currantshore.internal.status import read_status
-from currantshore.internal.writers import check_operator, operator_of
+from currantshore.internal.operators.status import read_status
+from currantshore.internal.operators.writers import check_operator, operator_of
 
 PLAN_FORMAT: Final = 1
 _PLAN_ID_SIZE_BYTES: Final = 8
--- a/src/currantshore/questionnaire.py
+++ b/src/currantshore/questionnaire.py
@@ -12,15 +12,15 @@
 
 from currantshore.declarations import POOL_FILE, SERVICES_DIRECTORY
 from currantshore.errors import DeclarationError
-from currantshore.internal import figures
-from currantshore.internal.answers import (
+from currantshore.internal.operators import figures
+from currantshore.internal.operators.answers import (
     Answers,
     ServiceAnswers,
     convert_answers,
     load_answers,
 )
-from currantshore.internal.interview import Ask, Tell, interview
-from currantshore.internal.tomltext import TomlText
+from currantshore.internal.operators.interview import Ask, Tell, interview
+from currantshore.internal.operators.tomltext import TomlText
 
 ANSWERS_FILE: Final = 'answers.toml'
 
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -17,7 +17,7 @@
 from currantshore import wire
 from currantshore.codes import ResultCode, is_not_run
 from currantshore.errors import WireFormatError
-from currantshore.internal.settings import parse_endpoint
+from currantshore.internal.process.settings import parse_endpoint
 from standins.backend import RESET
 from standins.network import Fabric, Faults
 
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -10,8 +10,8 @@
 import aiohttp
 import msgspec
 
-from currantshore.internal.platform import PlatformClient
-from currantshore.internal.settings import parse_endpoint
+from currantshore.internal.objectapi.platform import PlatformClient
+from currantshore.internal.process.settings import parse_endpoint
 from currantshore.internal.snapshot import (
     BackendServer,
     PoolHost,
@@ -183,7 +183,7 @@
         child = await ChildProcess.start(
             host_id,
             '-m',
-            'currantshore.internal.daemon',
+            'currantshore.internal.process.daemon',
             f'--host-id={host_id}',
             f'--zone={plan.zone}',
             f'--pool-id={self.pool_id}',
--- a/tests/contract/test_platform.py
+++ b/tests/contract/test_platform.py
@@ -15,11 +15,11 @@
     VersionConflictError,
 )
 from currantshore.internal.counters import Counters
-from currantshore.internal.objects import (
+from currantshore.internal.objectapi.objects import (
     MAX_VALUE_SIZE_BYTES,
     PlatformHost,
 )
-from currantshore.internal.platform import PlatformClient
+from currantshore.internal.objectapi.platform import PlatformClient
 from standins.platform import Faults, PlatformStandin
 
 _KEY = 'pools/lakeshore/services/dockwatch'
--- a/tests/contract/test_rpc.py
+++ b/tests/contract/test_rpc.py
@@ -12,8 +12,12 @@
     HandOverRequests,
     RequestsHandedOver,
 )
-from currantshore.internal.records import merge_objects
-from currantshore.internal.rpc import PeerCallError, PeerClient, serve_peers
+from currantshore.internal.objectapi.records import merge_objects
+from currantshore.internal.process.rpc import (
+    PeerCallError,
+    PeerClient,
+    serve_peers,
+)
 from currantshore.internal.snapshot import pool_key
 from currantshore.wire import Endpoint
 from standins import users
--- a/tests/cover/request_kit.py
+++ b/tests/cover/request_kit.py
@@ -6,7 +6,7 @@
 from currantshore.internal import hashing
 from currantshore.internal.counters import Counters
 from currantshore.internal.events import SendToBackend, SendToCaller
-from currantshore.internal.requestplane import RequestPlane
+from currantshore.internal.requests.requestplane import RequestPlane
 from currantshore.internal.snapshot import (
     BackendServer,
     PoolHost,
--- a/tests/cover/test_admission.py
+++ b/tests/cover/test_admission.py
@@ -4,8 +4,8 @@
 
 from currantshore import wire
 from currantshore.codes import ResultCode
-from currantshore.internal.admission import AdmissionQueue
-from currantshore.internal.runs import Work
+from currantshore.internal.requests.admission import AdmissionQueue
+from currantshore.internal.requests.runs import Work
 from currantshore.internal.snapshot import PriorityClass
 from tests.cover import request_kit as kit
 
--- a/tests/cover/test_cli.py
+++ b/tests/cover/test_cli.py
@@ -20,13 +20,13 @@
     PlatformUnavailableError,
     SettingsError,
 )
-from currantshore.internal.records import status_key
-from currantshore.internal.textreports import ExitCode, Failure
-from currantshore.internal.status import (
+from currantshore.internal.objectapi.records import status_key
+from currantshore.internal.operators.status import (
     HostStatus,
     decode_status,
     encode_status,
 )
+from currantshore.internal.operators.textreports import ExitCode, Failure
 from standins.platform import Faults, PlatformStandin, PutBody
 
 _EXAMPLES = Path(__file__).parents[2] / 'examples'
@@ -433,7 +433,7 @@
     def test_the_balancer_gets_its_arguments_unchanged(self):
         daemon = mock.Mock()
         daemon.run_balancer.return_value = 3
-        name = 'currantshore.internal.daemon'
+        name = 'currantshore.internal.process.daemon'
         with mock.patch.dict(sys.modules, {name: daemon}):
             code, _out, _errors = self.text('balancer', '--host-id', 'x')
         daemon.run_balancer.assert_called_once_with(['--host-id', 'x'])
--- a/tests/cover/test_configuration.py
+++ b/tests/cover/test_configuration.py
@@ -8,8 +8,8 @@
 
 from bench.virtualpool import build_pool, with_version
 from currantshore.errors import InvalidArgumentError
-from currantshore.internal import configuration
-from currantshore.internal.fetching import ConfigurationFetcher
+from currantshore.internal.members import configuration
+from currantshore.internal.members.fetching import ConfigurationFetcher
 from currantshore.internal.snapshot import PoolMembers, PoolSnapshot
 
 settings.register_profile('ci', derandomize=True, deadline=None)
--- a/tests/cover/test_executor.py
+++ b/tests/cover/test_executor.py
@@ -8,10 +8,11 @@
 
 from currantshore import wire
 from currantshore.codes import ResultCode
-from currantshore.internal import executor, peerwire, requestlogs
-from currantshore.internal.answercache import AnswerCache
+from currantshore.internal import peerwire
 from currantshore.internal.events import RequestsHandedOver, SendToPeer
-from currantshore.internal.retrybudget import RetryBudget
+from currantshore.internal.requests import executor, requestlogs
+from currantshore.internal.requests.answercache import AnswerCache
+from currantshore.internal.requests.retrybudget import RetryBudget
 from currantshore.internal.snapshot import BackendState
 from tests.cover import request_kit as kit
 
--- a/tests/cover/test_flowplane.py
+++ b/tests/cover/test_flowplane.py
@@ -8,7 +8,7 @@
 from currantshore.codes import DropReason
 from currantshore.internal.counters import Counters
 from currantshore.internal.events import SendToBackend, SendToCaller
-from currantshore.internal.flowplane import FlowPlane
+from currantshore.internal.flows.flowplane import FlowPlane
 from currantshore.internal.hashing import flow_key
 from currantshore.internal.snapshot import (
     BackendServer,
--- a/tests/cover/test_flowtable.py
+++ b/tests/cover/test_flowtable.py
@@ -4,15 +4,15 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from currantshore.internal.exceptions import (
+from currantshore.internal.flows.exceptions import (
     ExceptionTable,
     as_arrays,
     misplaced,
     pack,
     unpack,
 )
-from currantshore.internal.flowtable import FlowTable, entry_of, slot_of
-from currantshore.internal.placement import PlacementTable
+from currantshore.internal.flows.flowtable import FlowTable, entry_of, slot_of
+from currantshore.internal.flows.placement import PlacementTable
 
 settings.register_profile('ci', derandomize=True, deadline=None)
 settings.load_profile('ci')
--- a/tests/cover/test_health.py
+++ b/tests/cover/test_health.py
@@ -9,16 +9,20 @@
 from bench.virtualpool import PEER_KEY, build_pool
 from currantshore import wire
 from currantshore.codes import ResultCode
-from currantshore.internal import peerwire, probing, silence
+from currantshore.internal import peerwire
 from currantshore.internal.counters import Count, Counters
 from currantshore.internal.events import (
     SendToBackend,
     SendToCaller,
     SendToPeer,
 )
-from currantshore.internal.health import HealthPlane
+from currantshore.internal.healthchecks import probing, silence
+from currantshore.internal.healthchecks.health import HealthPlane
+from currantshore.internal.healthchecks.verdicts import (
+    FAILURES_TO_DOWN,
+    Verdict,
+)
 from currantshore.internal.snapshot import BackendState
-from currantshore.internal.verdicts import FAILURES_TO_DOWN, Verdict
 from currantshore.internal.views import LiveView, PeerView
 
 settings.register_profile('ci', derandomize=True, deadline=None)
--- a/tests/cover/test_limits.py
+++ b/tests/cover/test_limits.py
@@ -4,8 +4,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from currantshore.internal.limits import AdaptiveLimit
-from currantshore.internal.retrybudget import RetryBudget
+from currantshore.internal.requests.limits import AdaptiveLimit
+from currantshore.internal.requests.retrybudget import RetryBudget
 
 settings.register_profile('ci', derandomize=True, deadline=None)
 settings.load_profile('ci')
--- a/tests/cover/test_membership.py
+++ b/tests/cover/test_membership.py
@@ -14,12 +14,13 @@
     with_version,
 )
 from currantshore.errors import InvalidArgumentError
-from currantshore.internal import packing, peerwire
+from currantshore.internal import peerwire
 from currantshore.internal.counters import Counters
 from currantshore.internal.events import FetchConfiguration
-from currantshore.internal.heartbeats import MAX_HEARTBEAT_SIZE_BYTES
-from currantshore.internal.membership import MembershipPlane
-from currantshore.internal.roster import Member
+from currantshore.internal.members import packing
+from currantshore.internal.members.heartbeats import MAX_HEARTBEAT_SIZE_BYTES
+from currantshore.internal.members.membership import MembershipPlane
+from currantshore.internal.members.roster import Member
 
 settings.register_profile('ci', derandomize=True, deadline=None)
 settings.load_profile('ci')
--- a/tests/cover/test_placement.py
+++ b/tests/cover/test_placement.py
@@ -6,8 +6,8 @@
 from hypothesis import strategies as st
 
 from currantshore.errors import InvalidArgumentError
-from currantshore.internal.ownership import Owners
-from currantshore.internal.placement import NO_SLOT, PlacementTable
+from currantshore.internal.flows.ownership import Owners
+from currantshore.internal.flows.placement import NO_SLOT, PlacementTable
 
 settings.register_profile('ci', derandomize=True, deadline=None)
 settings.load_profile('ci')
--- a/tests/cover/test_planning.py
+++ b/tests/cover/test_planning.py
@@ -15,10 +15,10 @@
     PlatformUnavailableError,
     VersionConflictError,
 )
-from currantshore.internal import operations
-from currantshore.internal.inforce import read_in_force
-from currantshore.internal.platform import PlatformClient
-from currantshore.internal.records import status_key
+from currantshore.internal.objectapi.platform import PlatformClient
+from currantshore.internal.objectapi.records import status_key
+from currantshore.internal.operators import operations
+from currantshore.internal.operators.inforce import read_in_force
 from currantshore.internal.snapshot import BackendState, HostState
 from currantshore.planning import (
     apply_plan,
--- a/tests/cover/test_questionnaire.py
+++ b/tests/cover/test_questionnaire.py
@@ -10,7 +10,11 @@
 
 from currantshore.declarations import load_pool
 from currantshore.errors import DeclarationError, InvalidArgumentError
-from currantshore.internal.answers import Answers, Concern, convert_answers
+from currantshore.internal.operators.answers import (
+    Answers,
+    Concern,
+    convert_answers,
+)
 from currantshore.questionnaire import (
     ANSWERS_FILE,
     answer_at_terminal,
--- a/tests/cover/test_runtime.py
+++ b/tests/cover/test_runtime.py
@@ -5,12 +5,12 @@
 import testtools
 from circuits import Component, Event, handler
 
-from currantshore.internal.datagrams import (
+from currantshore.internal.process.datagrams import (
     BATCH_LIMIT,
     BatchSocket,
     Datagrams,
 )
-from currantshore.internal.runtime import LoopRoot
+from currantshore.internal.process.runtime import LoopRoot
 from currantshore.wire import Endpoint
 from tests.cover.paused import PausedLoop
 
--- a/tests/cover/test_settings.py
+++ b/tests/cover/test_settings.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from currantshore.errors import SettingsError
-from currantshore.internal.settings import (
+from currantshore.internal.process.settings import (
     SPECS,
     flag_name,
     load_settings,
--- a/tests/cover/test_slotshares.py
+++ b/tests/cover/test_slotshares.py
@@ -5,9 +5,9 @@
 from hypothesis import strategies as st
 
 from currantshore import wire
-from currantshore.internal.capacity import AdmissionMode, Capacity
-from currantshore.internal.executorchoice import choose_executor
-from currantshore.internal.slotshares import (
+from currantshore.internal.requests.capacity import AdmissionMode, Capacity
+from currantshore.internal.requests.executorchoice import choose_executor
+from currantshore.internal.requests.slotshares import (
     GAIN_DELAY_S,
     SlotShares,
     fair_quotas,
--- a/tests/cover/test_tracking.py
+++ b/tests/cover/test_tracking.py
@@ -8,12 +8,12 @@
 from currantshore.internal.counters import Count, Counters
 from currantshore.internal.events import (
     FlowsHandedOver,
-    HandOverFlows,
     HandoverFinished,
+    HandOverFlows,
     SendToBackend,
     SendToPeer,
 )
-from currantshore.internal.flowplane import FlowPlane
+from currantshore.internal.flows.flowplane import FlowPlane
 from currantshore.internal.hashing import flow_key
 from currantshore.internal.peerwire import Lookup, LookupReply, unseal
 from currantshore.internal.snapshot import BackendState
--- a/tests/process/test_rolling.py
+++ b/tests/process/test_rolling.py
@@ -3,7 +3,7 @@
 import asyncio
 import signal
 
-from currantshore.internal.settings import ExitCode
+from currantshore.internal.process.settings import ExitCode
 from standins.userrun import Scale, UserRun
 from tests.process.harness import ProcessTestCase
 
--- a/tests/process/test_serving.py
+++ b/tests/process/test_serving.py
@@ -7,7 +7,7 @@
 import testtools
 
 from currantshore.codes import ResultCode
-from currantshore.internal.settings import ExitCode
+from currantshore.internal.process.settings import ExitCode
 from standins.processes import ChildProcess
 from standins.userrun import Scale, UserRun
 from tests.process.harness import ProcessTestCase
@@ -150,7 +150,7 @@
 
     async def _start(self, *flags):
         child = await ChildProcess.start(
-            'balancer', '-m', 'currantshore.internal.daemon', *flags
+            'balancer', '-m', 'currantshore.internal.process.daemon', *flags
         )
         code = await child.wait(60)
         return code, child.log_text()
--- a/tests/stateful/links.py
+++ b/tests/stateful/links.py
@@ -18,13 +18,13 @@
 from currantshore.internal.events import (
     Action,
     FlowsHandedOver,
-    HandOverFlows,
     HandoverFinished,
+    HandOverFlows,
     SendToBackend,
     SendToCaller,
     SendToPeer,
 )
-from currantshore.internal.flowplane import FlowPlane
+from currantshore.internal.flows.flowplane import FlowPlane
 from currantshore.internal.hashing import flow_key, stable_hash
 from currantshore.internal.peerwire import Lookup, LookupReply, unseal
 from currantshore.internal.snapshot import (
--- a/tests/stateful/request_world.py
+++ b/tests/stateful/request_world.py
@@ -19,7 +19,7 @@
     SendToCaller,
     SendToPeer,
 )
-from currantshore.internal.requestplane import RequestPlane
+from currantshore.internal.requests.requestplane import RequestPlane
 from currantshore.internal.snapshot import (
     BackendServer,
     PoolHost,
--- a/tests/stateful/test_membership.py
+++ b/tests/stateful/test_membership.py
@@ -14,8 +14,8 @@
 )
 
 from bench.virtualpool import Network, VirtualPool, build_pool, with_version
-from currantshore.internal.configuration import regressions
-from currantshore.internal.liveset import FAILURE_TIMEOUT_S
+from currantshore.internal.members.configuration import regressions
+from currantshore.internal.members.liveset import FAILURE_TIMEOUT_S
 
 settings.register_profile('ci', derandomize=True, deadline=None)
 settings.load_profile('ci')
--- a/tooling/generate_protos.py
+++ b/tooling/generate_protos.py
@@ -12,7 +12,7 @@
 
 _ROOT: Final = pathlib.Path('src')
 _EXEMPTION: Final = '# mypy: ignore-errors\n'
-_PROTOS: Final = _ROOT / 'currantshore' / 'internal' / 'protos'
+_PROTOS: Final = _ROOT / 'currantshore' / 'internal' / 'process' / 'protos'
 
 
 def main() -> int:
