Commit a placement change when a peer has settled it

Cause: the state machine's seed 1026: balancers that resumed from a freeze placed flows by the former table while others had settled the new one and trusted it. Ruled out: nothing else was tried for this case. Change: an owner commits once a peer has sent settled exceptions of the version held. Conclusion: not fixed; the rest of the cause is open.

--- a/src/currantshore/internal/flows/change.py
+++ b/src/currantshore/internal/flows/change.py
@@ -143,12 +143,20 @@
         is_ready = is_seen and not is_blocked and self._has_met(peers, now_s)
         self._note_overdue(now_s)
         is_late = now_s >= self._pending[-1][0] + self._prepare_timeout_s
-        if not (is_ready or is_late):
+        if not (is_ready or is_late or self._is_settled_elsewhere()):
             return False
         self._commit(now_s)
         self.is_forced = not is_ready
         return True
 
+    def _is_settled_elsewhere(self) -> bool:
+        """Tell whether a peer has committed the version that is held.
+
+        Such a peer may trust the new table already and no longer ask, so an
+        owner that went on with the former table would decide differently.
+        """
+        return self._version in self._settled_versions.values()
+
     def note_owner_change(self, has_lost_owner: bool, now_s: float) -> None:
         """Wait for the exceptions that new owners have taken over."""
         self.is_doubtful = True
--- a/tests/stateful/test_flows.py
+++ b/tests/stateful/test_flows.py
@@ -298,6 +298,24 @@
     ),
 )
 
+# Three of five balancers are frozen while one backend server drains, returns
+# and drains again within an instant.
+_FROZEN_MAJORITY = (
+    ('freeze', 'h3', 0.4),
+    ('send_on_all_flows', 1),
+    ('freeze', 'h4', 3.0),
+    ('send_on_all_flows', 1),
+    ('freeze', 'h2', 3.0),
+    ('freeze', 'h3', 3.0),
+    ('drain_or_return', 1, (0.1, 0.1, 0.0, 0.0, 0.0)),
+    ('send_on_all_flows', 2),
+    ('wait', 2.2),
+    ('send_on_all_flows', 2),
+    ('drain_or_return', 1, (2.9, 0.0, 0.6, 0.6, 1.5)),
+    ('drain_or_return', 1, (0.0, 0.1, 0.6, 2.9, 0.1)),
+    ('wait', 6.0),
+)
+
 # Minimal or nearly minimal examples that the state machine found, with their
 # seed: what broke then, and the steps.
 _FOUND = (
@@ -403,6 +421,12 @@
             ('wait', 2.2),
         ),
     ),
+    (
+        'resumed owners went on with the former table after others settled',
+        1026,
+        0.0,
+        _FROZEN_MAJORITY,
+    ),
 )
 
 
@@ -418,6 +442,11 @@
         for name, seed, loss, steps in _FOUND:
             self.play(name, seed, loss, steps)
 
+    def test_a_frozen_majority_with_other_seeds(self):
+        for seed in range(4):
+            label = f'frozen majority, seed {seed}'
+            self.play(label, seed, 0.0, _FROZEN_MAJORITY)
+
     def play(self, label, seed, loss, steps):
         machine = FlowMachine()
         machine.start(seed, loss)
