Report the open flows of draining backend servers

Ruled out: counting in PeerView, which would make a new live view at each packet. Change: a heartbeat with demands lists up to 8 draining backend servers and their known flows; the reporter passes on counts of hosts that hold its configuration. Before: draining_flows was always None.

--- a/src/currantshore/core.py
+++ b/src/currantshore/core.py
@@ -131,6 +131,7 @@
                 held
                 if peer.prepared_digest == view.configuration_digest
                 else {},
+                self._parts.membership.draining_of(peer.host_id),
             )
             for peer in view.peers.values()
         }
@@ -231,6 +232,8 @@
             self._demands_due_s = now_s + _DEMANDS_INTERVAL_S
             demands = self._parts.requests.demands()
             self._parts.membership.set_demands(demands)
+            draining = self._parts.flows.draining_flows()
+            self._parts.membership.set_draining(draining)
 
     def _settle(self, actions: _Actions, now_s: float) -> _Actions:
         view = self._parts.membership.view()
--- a/src/currantshore/internal/flows/flowplane.py
+++ b/src/currantshore/internal/flows/flowplane.py
@@ -323,6 +323,13 @@
             for flows in self._services.values()
         )
 
+    def draining_flows(self) -> dict[str, int]:
+        """Return the known flows of each backend server that is draining."""
+        counts: dict[str, int] = {}
+        for flows in self._services.values():
+            counts.update(flows.draining_flows())
+        return counts
+
     def use_incarnation(self, incarnation: int) -> None:
         """Name ``incarnation`` as the executor in new tokens."""
         self._incarnation = incarnation
--- a/src/currantshore/internal/flows/tracking.py
+++ b/src/currantshore/internal/flows/tracking.py
@@ -7,7 +7,7 @@
 from currantshore.internal.flows.flowpeers import PeerChange
 from currantshore.internal.flows.placement import NO_SLOT
 from currantshore.internal.flows.placing import FlowPlacer
-from currantshore.internal.snapshot import ServiceSnapshot
+from currantshore.internal.snapshot import BackendState, ServiceSnapshot
 from currantshore.wire import Endpoint
 
 
@@ -88,6 +88,17 @@
         """The configuration of the service in use here."""
         return self._service
 
+    def draining_flows(self) -> dict[str, int]:
+        """Return the known flows of each backend server that is draining."""
+        placer = self.placer
+        return {
+            server.backend_id: placer.known.counts[
+                placer.backends.number(server.backend_id)
+            ]
+            for server in self._service.backend_servers
+            if server.state is BackendState.DRAINING
+        }
+
     def is_busy(self) -> bool:
         """Tell whether a change, a handover or a lookup is going on."""
         return self.placer.change.moved is not None or not self.is_idle()
--- a/src/currantshore/internal/members/heartbeats.py
+++ b/src/currantshore/internal/members/heartbeats.py
@@ -11,6 +11,8 @@
 # Demands are for slot shares; those of idle services change nothing.
 _MAX_DEMANDS: Final = 8
 _MAX_DEMANDS_SIZE_BYTES: Final = 64
+# With more, nobody is told that one of them has no flows left.
+_MAX_DRAINING: Final = 8
 # A new process, or a host that is live again after a cut longer than a packed
 # counter can tell, travels in full until the whole pool can have it.
 _NEWS_AGE_S: Final = 3.0
@@ -58,6 +60,10 @@
             chosen[service_id] = demand
         return chosen
 
+    def listed(self, draining: Mapping[str, int]) -> dict[str, int] | None:
+        """Return ``draining`` if all of it fits into a heartbeat."""
+        return dict(draining) if len(draining) <= _MAX_DRAINING else None
+
     def start_beat(self, own: Member, now_s: float) -> None:
         """Compute what is the same in all heartbeats of one beat."""
         self._turn += 1
@@ -102,6 +108,7 @@
             successor=own.successor,
             members=self._block if has_block else b'',
             has_demands=has_demands,
+            draining=own.draining if has_demands else None,
         )
         return peerwire.seal(heartbeat, self._peer_key)
 
--- a/src/currantshore/internal/members/liveset.py
+++ b/src/currantshore/internal/members/liveset.py
@@ -201,6 +201,8 @@
         sender.digest = heartbeat.configuration_digest
         if heartbeat.has_demands:
             sender.demands = heartbeat.demands
+            sender.draining = heartbeat.draining
+            sender.draining_digest = heartbeat.configuration_digest
         sender.successor = heartbeat.successor
         if _peer_view(sender) != before:
             self._view = None
--- a/src/currantshore/internal/members/membership.py
+++ b/src/currantshore/internal/members/membership.py
@@ -178,6 +178,20 @@
         """Publish outstanding and queued requests by service id."""
         self._live.own.demands = self._builder.busiest(demands)
 
+    def set_draining(self, draining: Mapping[str, int]) -> None:
+        """Publish the known flows of draining backend servers."""
+        own = self._live.own
+        own.draining = self._builder.listed(draining)
+        own.draining_digest = own.digest
+
+    def draining_of(self, host_id: str) -> dict[str, int] | None:
+        """Return what a host reported for the configuration held here."""
+        own = self._live.own
+        member = own
+        if host_id != own.host_id:
+            member = self._live.members.get(host_id, own)
+        return member.draining if member.draining_digest == own.digest else None
+
     def set_prepared(self, is_prepared: bool) -> None:
         """Publish whether the held configuration is prepared here."""
         prepared = self._live.own.digest if is_prepared else 0
--- a/src/currantshore/internal/members/roster.py
+++ b/src/currantshore/internal/members/roster.py
@@ -21,6 +21,8 @@
         'appeared_s',
         'counter',
         'demands',
+        'draining',
+        'draining_digest',
         'digest',
         'host_id',
         'incarnation',
@@ -74,6 +76,8 @@
         self.digest = 0
         self.demands: dict[str, int] = {}
         self.successor = ''
+        self.draining: dict[str, int] | None = None
+        self.draining_digest = 0
 
     def rise(self, incarnation: int, counter: int, now_s: float) -> bool:
         """Take over a newer (incarnation, counter); tell whether it was."""
--- a/src/currantshore/internal/peerwire.py
+++ b/src/currantshore/internal/peerwire.py
@@ -24,7 +24,9 @@
     the versions held; ``prepared_digest`` is the digest up to which the sender
     prepared every change and had its handovers acknowledged. ``members`` holds
     the packed liveness of the pool (see ``internal/members/packing``). Without
-    ``has_demands`` the demands are those of the heartbeat before.
+    ``has_demands`` the demands are those of the heartbeat before. With it,
+    ``draining`` counts the known flows of draining backend servers; None when
+    there are too many of these to list.
     """
 
     sender: str
@@ -38,6 +40,7 @@
     successor: str = ''
     members: bytes = b''
     has_demands: bool = True
+    draining: dict[str, int] | None = None
 
 
 class Lookup(Message, frozen=True, array_like=True, tag='lookup'):
--- a/tests/cover/test_core.py
+++ b/tests/cover/test_core.py
@@ -21,6 +21,7 @@
 )
 from currantshore.internal.snapshot import (
     BackendServer,
+    BackendState,
     HostState,
     PoolHost,
     PoolMembers,
@@ -337,3 +338,48 @@
         core = make_core(hosts=HOSTS[:1])
         report = core.status_report()
         self.assertEqual(core.pool().versions(), report['harbor-1'].versions)
+
+    def test_the_report_counts_the_flows_of_a_draining_server(self):
+        first = make_core()
+        second = make_core('harbor-2')
+        token = open_flow(first)
+        (target,) = targets(
+            first.handle(from_caller(wire.Data(b'x', token)), WARM_S)
+        )
+        changed = _drain(target)
+        for core in (first, second):
+            core.handle(ConfigurationChanged(changed), WARM_S)
+        for now_s in range(11, 15):
+            _exchange(first, second, now_s)
+            _exchange(second, first, now_s)
+        report = first.status_report()
+        drained = report['harbor-1'].draining_flows
+        self.assertEqual([1], list(drained.values()))
+        others = report['harbor-2'].draining_flows
+        self.assertEqual(dict.fromkeys(drained, 0), others)
+
+    def test_a_host_that_was_not_heard_since_the_drain_counts_nothing(self):
+        first = make_core()
+        second = make_core('harbor-2')
+        for now_s in range(11, 15):
+            _exchange(first, second, now_s)
+            _exchange(second, first, now_s)
+        changed = _drain(wire.Endpoint('10.1.0.1', 101))
+        first.handle(ConfigurationChanged(changed), 15)
+        first.tick(15)
+        self.assertIsNone(first.status_report()['harbor-2'].draining_flows)
+
+
+def _drain(endpoint):
+    pool = make_pool()
+    service = pool.services[0]
+    servers = tuple(
+        msgspec.structs.replace(server, state=BackendState.DRAINING)
+        if server.endpoint == endpoint
+        else server
+        for server in service.backend_servers
+    )
+    drained = msgspec.structs.replace(
+        service, backend_servers=servers, version=7
+    )
+    return PoolSnapshot(pool.members, (drained, *pool.services[1:]))
