Let services without exceptions share one handover a peer

Ruled out: dropping them; peers need to hear that a version is settled. Change: SettledNotes collects what is settled for each host and the next tick sends it in one handover; before the first commit nothing is sent.

--- a/src/currantshore/internal/events.py
+++ b/src/currantshore/internal/events.py
@@ -46,12 +46,15 @@
     ``flows`` maps a backend id to packed 5-byte flow fingerprints. A
     ``settled_version`` of 0 or more says that the sender, as an owner, has
     committed this version of the service and sent all exceptions it owns.
+    ``settled`` says the same of services without exceptions, by service id; the
+    ``service_id`` is empty then.
     """
 
     sender: str
     service_id: str
     flows: Mapping[str, bytes]
     settled_version: int = -1
+    settled: Mapping[str, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -120,7 +123,7 @@
 class HandOverFlows:
     """Hand exceptions to a peer and report a ``HandoverFinished``.
 
-    The peer gets ``flows`` and ``settled_version`` as ``FlowsHandedOver``.
+    The peer gets the other fields as ``FlowsHandedOver``.
     """
 
     host_id: str
@@ -128,6 +131,7 @@
     handover_id: int
     flows: Mapping[str, bytes]
     settled_version: int = -1
+    settled: Mapping[str, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/currantshore/internal/flows/addressing.py
+++ b/src/currantshore/internal/flows/addressing.py
@@ -11,7 +11,11 @@
 from currantshore.internal.flows.change import NO_VERSION
 from currantshore.internal.flows.exceptions import as_arrays, pack, unpack
 from currantshore.internal.flows.flowpeers import PeerChange, Peers
-from currantshore.internal.flows.handovers import Handover, HandoverLedger
+from currantshore.internal.flows.handovers import (
+    Handover,
+    HandoverLedger,
+    SettledNotes,
+)
 from currantshore.internal.flows.placement import Mask, Numbers, Slots
 from currantshore.internal.views import BackendHealth
 
@@ -25,6 +29,7 @@
     counters: Counters
     peers: Peers
     ledger: HandoverLedger
+    notes: SettledNotes
     health: BackendHealth
     rng: random.Random
 
--- a/src/currantshore/internal/flows/flowplane.py
+++ b/src/currantshore/internal/flows/flowplane.py
@@ -19,7 +19,10 @@
     entry_of,
     is_framed,
 )
-from currantshore.internal.flows.handovers import HandoverLedger
+from currantshore.internal.flows.handovers import (
+    HandoverLedger,
+    SettledNotes,
+)
 from currantshore.internal.flows.placement import NO_SLOT
 from currantshore.internal.flows.placing import FlowPlacer
 from currantshore.internal.flows.tracking import ServiceFlows
@@ -110,6 +113,7 @@
             counters,
             Peers(host_id),
             HandoverLedger(),
+            SettledNotes(),
             health,
             rng,
         )
@@ -149,8 +153,9 @@
         if change.is_empty():
             return actions
         for handover in self._context.ledger.cancel(change.gone()):
-            flows = self._services[handover.service_id]
-            flows.placer.sharing.take_back(handover)
+            if not handover.settled:
+                flows = self._services[handover.service_id]
+                flows.placer.sharing.take_back(handover)
         for flows in self._services.values():
             actions.extend(flows.on_peer_change(change, now_s))
         return actions
@@ -279,11 +284,9 @@
         now_s: float,
     ) -> list[Action]:
         """Record exceptions that a peer knows."""
-        flows = self._services.get(event.service_id)
-        if flows is not None:
-            flows.placer.sharing.receive(event)
-        elif len(self._early) < _EARLY_HANDOVERS_LIMIT:
-            self._early.append(event)
+        if not self._receive(event):
+            if len(self._early) < _EARLY_HANDOVERS_LIMIT:
+                self._early.append(event)
         return []
 
     def on_handover_finished(
@@ -310,7 +313,7 @@
 
     def is_idle(self) -> bool:
         """Tell whether nothing is left to hand over and no packet waits."""
-        if self._context.ledger:
+        if self._context.ledger or self._context.notes:
             return False
         return all(flows.is_idle() for flows in self._services.values())
 
@@ -349,6 +352,11 @@
         actions.extend(self._context.ledger.retries(now_s))
         for flows in self._turns.pick(self._services.values(), _is_busy):
             actions.extend(flows.tick(now_s))
+        ledger = self._context.ledger
+        actions.extend(
+            ledger.send(handover, now_s)
+            for handover in self._context.notes.take()
+        )
         return actions
 
     def _executor(self, flows: ServiceFlows, flow_key: int) -> tuple[str, int]:
@@ -389,6 +397,23 @@
         for event in early:
             self.on_flows_handed_over(event, 0.0)
 
+    def _receive(self, event: FlowsHandedOver) -> bool:
+        """Record a handover; tell whether all its services are known."""
+        unknown = 0
+        for service_id, version in event.settled.items():
+            noted = self._services.get(service_id)
+            if noted is None:
+                unknown += 1
+            else:
+                noted.placer.sharing.note_settled(event.sender, version)
+        if event.settled:
+            return unknown == 0
+        flows = self._services.get(event.service_id)
+        if flows is None:
+            return False
+        flows.placer.sharing.receive(event)
+        return True
+
     def _stranger(self, source: Endpoint) -> DropReason:
         """Tell why a datagram from ``source`` is not of its service."""
         for flows in self._services.values():
--- a/src/currantshore/internal/flows/handovers.py
+++ b/src/currantshore/internal/flows/handovers.py
@@ -11,6 +11,9 @@
 _ANSWER_TIMEOUT_S: Final = 1.0
 _RETRY_DELAY_S: Final = 0.2
 
+# The settled version of a handover that says nothing about its service.
+NOT_SETTLED: Final = -1
+
 
 @dataclasses.dataclass(slots=True)
 class Handover:
@@ -24,9 +27,49 @@
     flows: Mapping[str, bytes]
     settled_version: int
     is_blocking: bool
+    settled: Mapping[str, int] = dataclasses.field(default_factory=dict)
     due_s: float = 0.0
 
 
+class SettledNotes:
+    """Services without exceptions that peers are to be told of, by host.
+
+    A host that starts tells each peer of each service. One handover for all of
+    them replaces one for each, which was over 15,000 at 244 services and 64
+    hosts.
+    """
+
+    __slots__ = ('_by_host',)
+
+    def __init__(self) -> None:
+        """Start without notes."""
+        self._by_host: dict[str, dict[str, int]] = {}
+
+    def __len__(self) -> int:
+        """Return the number of hosts that wait for notes."""
+        return len(self._by_host)
+
+    def add(self, host_id: str, service_id: str, version: int) -> None:
+        """Tell ``host_id`` that ``version`` of a service is settled."""
+        self._by_host.setdefault(host_id, {})[service_id] = version
+
+    def take(self) -> list[Handover]:
+        """Return one handover for each host that waits."""
+        noted = self._by_host
+        self._by_host = {}
+        return [
+            Handover(
+                host_id,
+                service_id='',
+                flows={},
+                settled_version=NOT_SETTLED,
+                is_blocking=False,
+                settled=versions,
+            )
+            for host_id, versions in noted.items()
+        ]
+
+
 class HandoverLedger:
     """All handovers of one balancer that are not acknowledged yet."""
 
@@ -107,4 +150,5 @@
             handover_id=number,
             flows=handover.flows,
             settled_version=handover.settled_version,
+            settled=handover.settled,
         )
--- a/src/currantshore/internal/flows/sharing.py
+++ b/src/currantshore/internal/flows/sharing.py
@@ -222,7 +222,11 @@
             elif self._known.find(fingerprint) is None:
                 self._known.put(fingerprint, entry_of(slot, is_framed=False))
         if is_settled:
-            self._change.note_settled(event.sender, event.settled_version)
+            self.note_settled(event.sender, event.settled_version)
+
+    def note_settled(self, sender: str, version: int) -> None:
+        """Note that ``sender`` has sent all exceptions that it owns."""
+        self._change.note_settled(sender, version)
 
     def _first_wave(self, flows: dict[int, int]) -> list[Handover]:
         """Return what goes out at once; the rest waits for a moment."""
@@ -253,6 +257,9 @@
         now_s: float,
     ) -> list[Action]:
         version = self._change.committed_version
+        if not flows:
+            self._note_settled_for(hosts, version)
+            return []
         encoded = self._addressing.encoded(flows)
         return self._send(
             [
@@ -262,6 +269,13 @@
             now_s,
         )
 
+    def _note_settled_for(self, hosts: Iterable[str], version: int) -> None:
+        # Before the first commit there is nothing that a peer could note.
+        if version == NO_VERSION:
+            return
+        for host in hosts:
+            self._context.notes.add(host, self._service_id, version)
+
     def _flush_leaving(self, now_s: float) -> list[Action]:
         chunk = self._leaving[:_LEAVING_CHUNK]
         self._leaving = self._leaving[_LEAVING_CHUNK:]
--- a/src/currantshore/internal/process/rpc.py
+++ b/src/currantshore/internal/process/rpc.py
@@ -97,6 +97,7 @@
                     handover.service_id,
                     dict(handover.flows),
                     handover.settled_version,
+                    dict(handover.settled),
                 ),
             )
         await stream.send_message(peers_pb2.HandOverReply(is_accepted=True))
@@ -170,6 +171,7 @@
                     handover_id=action.handover_id,
                     flows=dict(action.flows),
                     settled_version=action.settled_version,
+                    settled=dict(action.settled),
                 )
                 for action in actions
             ],
--- a/tests/contract/test_rpc.py
+++ b/tests/contract/test_rpc.py
@@ -84,12 +84,18 @@
             HandOverFlows('eastside-2', 'dockwatch', 9, {}, 7),
             HandOverFlows('eastside-2', 'incident-upload', 10, {}, 0),
             HandOverFlows('eastside-2', 'incident-upload', 11, {}),
+            HandOverFlows('eastside-2', '', 12, {}, settled={'dockwatch': 8}),
         ]
         self.call(lambda client, at: client.hand_over_flows(at, actions))
         self.assertEqual(
-            [('dockwatch', 7), ('incident-upload', 0), ('incident-upload', -1)],
             [
-                (event.service_id, event.settled_version)
+                ('dockwatch', 7, {}),
+                ('incident-upload', 0, {}),
+                ('incident-upload', -1, {}),
+                ('', -1, {'dockwatch': 8}),
+            ],
+            [
+                (event.service_id, event.settled_version, event.settled)
                 for event in self.handler.events
             ],
         )
--- a/tests/stateful/links.py
+++ b/tests/stateful/links.py
@@ -684,7 +684,9 @@
         size = sum(
             len(name) + len(flows) for name, flows in action.flows.items()
         )
-        kind = 'Handover' if action.settled_version < 0 else 'Settled'
+        size += sum(len(name) + 4 for name in action.settled)
+        is_settled = action.settled or action.settled_version >= 0
+        kind = 'Settled' if is_settled else 'Handover'
         self._count(node, kind, size + CALL_OVERHEAD_BYTES)
         self.note(
             f'{node.host_id} hands {size} bytes to {action.host_id} '
@@ -695,6 +697,7 @@
             action.service_id,
             action.flows,
             action.settled_version,
+            action.settled,
         )
         delay_s = self.rng.uniform(*self.quality.delay_s)
         if self.rng.random() < self.quality.loss_ratio:
--- a/tests/stateful/test_flows.py
+++ b/tests/stateful/test_flows.py
@@ -421,12 +421,6 @@
             ('wait', 2.2),
         ),
     ),
-    (
-        'resumed owners went on with the former table after others settled',
-        1026,
-        0.0,
-        _FROZEN_MAJORITY,
-    ),
 )
 
 
@@ -442,8 +436,11 @@
         for name, seed, loss, steps in _FOUND:
             self.play(name, seed, loss, steps)
 
+    def test_a_frozen_majority(self):
+        self.play('frozen majority', 1026, 0.0, _FROZEN_MAJORITY)
+
     def test_a_frozen_majority_with_other_seeds(self):
-        for seed in range(4):
+        for seed in range(8):
             label = f'frozen majority, seed {seed}'
             self.play(label, seed, 0.0, _FROZEN_MAJORITY)
 
