--- a/src/currantshore/cli.py
+++ b/src/currantshore/cli.py
@@ -332,6 +332,8 @@
     status,
     version,
 )
+# The balancer reads its own settings, so defopt does not know it.
+_EPILOG: Final = 'A balancer is run by "currantshore balancer"; see its --help.'
 _INTERRUPTED: Final = Failure(
     ExitCode.INTERRUPTED,
     ('interrupted',),
@@ -346,7 +348,7 @@
         # Short flags would change when a command gets another setting.
         short={},
         no_negated_flags=True,
-        argparse_kwargs={'prog': 'currantshore'},
+        argparse_kwargs={'prog': 'currantshore', 'epilog': _EPILOG},
     )
     return report
 
