Join answer parts of one run only in the caller stand-in

Cause: parts were joined by request id; a repeatable request may be answered by two runs, whose parts could mix. Ruled out: joining by attempt, which both runs may share. Change: parts are kept by run id, as wire.Answer says. Before: parts of two runs mixed. Conclusion: the stand-in follows the documented rule.

--- a/standins/caller.py
+++ b/standins/caller.py
@@ -28,7 +28,7 @@
 _READ_LIMIT: Final = 64
 _FIRST_ANSWER_S: Final = 10.0
 
-_Parts: TypeAlias = dict[int, bytes]
+_Parts: TypeAlias = dict[int, dict[int, bytes]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -239,11 +239,11 @@
         if waiting is None or waiting.future.done():
             self.counts['late_answers'] += 1
             return
-        waiting.parts[answer.part] = answer.payload
-        if len(waiting.parts) == answer.parts:
-            whole = b''.join(
-                waiting.parts[part] for part in range(answer.parts)
-            )
+        # Two runs of a repeatable request may answer; their parts do not mix.
+        parts = waiting.parts.setdefault(answer.run_id, {})
+        parts[answer.part] = answer.payload
+        if len(parts) == answer.parts:
+            whole = b''.join(parts[part] for part in range(answer.parts))
             waiting.future.set_result(
                 Outcome(answer.request_id, ResultCode.OK, whole),
             )
