Split the sending of health reports from the health part

Ruled out: a split by method count; reports are the only part with own state. Change: ReportSender in healthchecks/reporting. No behaviour changed. Conclusion: verdicts and probes could be parted next.

--- a/src/currantshore/internal/healthchecks/health.py
+++ b/src/currantshore/internal/healthchecks/health.py
@@ -5,7 +5,7 @@
 """
 
 import random
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 from typing import Final
 
 import msgspec
@@ -18,10 +18,9 @@
     Action,
     SendToBackend,
     SendToCaller,
-    SendToPeer,
 )
 from currantshore.internal.healthchecks import probing
-from currantshore.internal.healthchecks.reports import Reports
+from currantshore.internal.healthchecks.reporting import ReportSender
 from currantshore.internal.healthchecks.silence import (
     SilenceTracker,
     SilentFlow,
@@ -36,13 +35,6 @@
 )
 from currantshore.internal.views import LiveView
 
-_REPEAT_FANOUT: Final = 4
-_MAX_FULL_MESH_PEERS: Final = 7
-# Verdicts of one fault come close together and share datagrams.
-_REPORT_INTERVAL_S: Final = 1.0
-# Makes good lost reports. Each peer of 64 hears it every 80 s, which costs a
-# prober less than 100 bytes a second while a backend server is down.
-_REPEAT_INTERVAL_S: Final = 5.0
 _EXPIRY_INTERVAL_S: Final = 1.0
 # Judging looks at every verdict; a failure causes it at once.
 _JUDGE_INTERVAL_S: Final = 0.25
@@ -64,21 +56,16 @@
         '_host_id',
         '_hosts',
         '_last_failure',
-        '_peer_key',
         '_pool',
         '_probers',
         '_probe_id',
-        '_repeat_s',
-        '_report_s',
-        '_reports',
         '_returning',
         '_rng',
         '_schedule',
+        '_sender',
         '_sole',
-        '_turn',
         '_is_judging_due',
         '_judge_s',
-        '_newcomers',
         '_services',
         '_silence',
         '_suspicion',
@@ -100,7 +87,6 @@
         """Use ``from_config``."""
         self._host_id = host_id
         self.counters = counters
-        self._peer_key = peer_key
         self._rng = rng
         self._view: LiveView | None = None
         self._pool: PoolSnapshot | None = None
@@ -112,20 +98,16 @@
         self._returning: set[str] = set()
         self._unusable: frozenset[str] = frozenset()
         self._weights: dict[str, float] = {}
-        self._reports = Reports(host_id)
-        self._newcomers: set[str] = set()
+        self._sender = ReportSender(host_id, peer_key, counters)
         self._hosts: frozenset[tuple[str, str]] = frozenset()
         self._probers: dict[tuple[str, str], list[str]] = {}
         self._sole: frozenset[str] = frozenset()
-        self._turn = 0
         self._last_failure: dict[str, tuple[float, str]] = {}
         self._schedule = probing.ProbeSchedule()
         self._silence = SilenceTracker()
         self._suspicion = SelfSuspicion()
         self._votes = Votes()
         self._probe_id = 0
-        self._repeat_s = 0.0
-        self._report_s = 0.0
         self._judge_s = 0.0
         self._is_judging_due = False
         self._expire_s = 0.0
@@ -169,8 +151,8 @@
             self._verdicts.pop(backend_id)
             self._failing.discard(backend_id)
             self._returning.discard(backend_id)
-            self._reports.forget(backend_id)
-        self._votes.expire(self._peers(), self._backends, now_s)
+            self._sender.forget(backend_id)
+        self._votes.expire(self._sender.peers(), self._backends, now_s)
         self._silence.forget_backends(frozenset(self._backends))
         self._assign(now_s)
         self._refresh(now_s)
@@ -178,11 +160,8 @@
 
     def on_live_view(self, view: LiveView, now_s: float) -> list[Action]:
         """Share the probes anew among the live balancers."""
-        newcomers = _newcomers(self._view, view) - {self._host_id}
-        self._newcomers |= newcomers
-        self._votes.forget(newcomers)
+        self._votes.forget(self._sender.on_live_view(view))
         self._view = view
-        self._newcomers &= view.peers.keys()
         hosts = frozenset(
             (peer.host_id, peer.zone)
             for peer in view.peers.values()
@@ -288,7 +267,7 @@
         self._silence.tick(now_s)
         if now_s >= self._expire_s:
             self._expire_s = now_s + _EXPIRY_INTERVAL_S
-            self._votes.expire(self._peers(), self._backends, now_s)
+            self._votes.expire(self._sender.peers(), self._backends, now_s)
         self._suspect(now_s)
         self._refresh(now_s)
         actions = self._probe(now_s)
@@ -453,22 +432,7 @@
     def _report(self, now_s: float) -> list[Action]:
         if self._suspicion.is_active:
             return []
-        actions: list[Action] = []
-        changed: Mapping[str, bool] = {}
-        if now_s >= self._report_s:
-            changed = self._reports.take_changed(self._down_here(), now_s)
-        if changed:
-            self._report_s = now_s + _REPORT_INTERVAL_S
-            actions.extend(self._send_reports(changed, sorted(self._peers())))
-        if self._newcomers:
-            held = self._reports.lasting(now_s)
-            actions.extend(self._send_reports(held, sorted(self._newcomers)))
-            self._newcomers = set()
-        if now_s >= self._repeat_s:
-            self._repeat_s = now_s + _REPEAT_INTERVAL_S
-            held = self._reports.lasting(now_s)
-            actions.extend(self._send_reports(held, self._next_listeners()))
-        return actions
+        return self._sender.send_due(self._down_here(), now_s)
 
     def _down_here(self) -> set[str]:
         return {
@@ -477,48 +441,6 @@
             if self._verdicts[backend_id].is_down
         }
 
-    def _next_listeners(self) -> list[str]:
-        """Return some peers, in turn, to repeat lasting verdicts to."""
-        peers = sorted(self._peers())
-        if len(peers) <= _MAX_FULL_MESH_PEERS:
-            return peers
-        start = self._turn % len(peers)
-        self._turn += _REPEAT_FANOUT
-        return (peers + peers)[start : start + _REPEAT_FANOUT]
-
-    def _send_reports(
-        self,
-        verdicts: Mapping[str, bool],
-        targets: Sequence[str],
-    ) -> list[Action]:
-        own = self._view.peers.get(self._host_id) if self._view else None
-        incarnation = own.incarnation if own else 0
-        actions: list[Action] = []
-        for report in self._reports.build(verdicts, incarnation):
-            payload = peerwire.seal(report, self._peer_key)
-            self.counters.count(
-                Count.CONTROL_SENT_BYTES,
-                len(payload) * len(targets),
-            )
-            actions.extend(SendToPeer(name, payload) for name in targets)
-        return actions
-
-    def _peers(self) -> set[str]:
-        if self._view is None:
-            return set()
-        return set(self._view.peers) - {self._host_id}
-
-
-def _newcomers(before: LiveView | None, after: LiveView) -> set[str]:
-    """Return the hosts whose process was not in the view before."""
-    known = {} if before is None else before.peers
-    return {
-        host_id
-        for host_id, peer in after.peers.items()
-        if host_id not in known
-        or known[host_id].incarnation != peer.incarnation
-    }
-
 
 def _is_cold(before: BackendServer | None, after: BackendServer) -> bool:
     """Tell whether a backend server has just begun to take new flows."""
