--- a/tests/cover/test_codes.py
+++ b/tests/cover/test_codes.py
@@ -6,6 +6,7 @@
 import testtools
 
 from currantshore.codes import DropReason, ResultCode, RetryReason, is_not_run
+from currantshore.internal.counters import Count
 
 _TABLE = pathlib.Path(__file__).parents[2] / 'docs' / 'result-codes.md'
 
@@ -41,3 +42,12 @@
         # Another copy of the same request may have reached the executor.
         self.assertFalse(is_not_run(ResultCode.TOKEN_INVALID))
         self.assertFalse(is_not_run(ResultCode.TOKEN_MISSING))
+
+
+class MetricPageTests(testtools.TestCase):
+    """Guards against a metric that the operators' page does not explain."""
+
+    def test_every_count_has_a_row(self):
+        page = (_TABLE.parent / 'operators' / 'metrics.md').read_text()
+        rows = re.findall(r'^\| `currantshore_(\w+)_total` \| \|', page, re.M)
+        self.assertEqual(sorted(Count), sorted(rows))
