Test that a host marked as leaving stops by itself

Cause: the stop was tested only as a verdict of the core. Ruled out: none. Change: a process test marks a host as leaving and waits for exit 0. Before: no test. After: it passes; all eight flows are answered. Conclusion: operators' drain of a host needs no signal.

--- a/tests/process/test_serving.py
+++ b/tests/process/test_serving.py
@@ -4,10 +4,12 @@
 import signal
 
 import aiohttp
+import msgspec
 import testtools
 
 from currantshore.codes import ResultCode
 from currantshore.internal.process.settings import ExitCode
+from currantshore.internal.snapshot import HostState, pool_key
 from standins.processes import ChildProcess
 from standins.userrun import Scale, UserRun
 from tests.process.harness import ProcessTestCase
@@ -73,6 +75,21 @@
         self.assertEqual([1], await self.runs_of(flow))
         await self.assert_flows_answer([flow])
 
+    def test_a_host_marked_as_leaving_stops_by_itself(self):
+        self.run_scenario(self._mark_as_leaving)
+
+    async def _mark_as_leaving(self):
+        flows = await self.open_flows(8)
+        members = self.cluster.pool.members
+        *kept, last = members.hosts
+        leaving = msgspec.structs.replace(last, state=HostState.LEAVING)
+        changed = msgspec.structs.replace(members, hosts=(*kept, leaving))
+        await self.cluster.write(pool_key(members.pool_id), changed)
+        child = self.cluster.balancers[last.host_id]
+        self.assertEqual(ExitCode.OK, await child.wait(60))
+        self.fabric.withdraw(last.host_id)
+        await self.assert_flows_answer(flows)
+
     def test_a_killed_balancer_breaks_no_flow(self):
         self.run_scenario(self._kill_balancer)
 
