Let hosts tell each other of configuration and servers; one reader a zone

Every host also paid for calls of its own. Ruled out: shorter waits alone (each costs a call); a write of every host to be found by; long lists of members in every message. Change: internal/mirror: digests to a few hosts twice a second, changes passed on at once, beats of those that read the store, from which each host decides alone whether to read; a watch that misses what others know is given up.

--- a/src/currantshore/internal/entry/following.py
+++ b/src/currantshore/internal/entry/following.py
@@ -10,8 +10,8 @@
     HistoryLostError,
     StoreRefusedError,
 )
+from currantshore.internal.entry.holdings import Holdings
 from currantshore.internal.steering.catalog import BackendEntry
-from currantshore.internal.steering.core import SteeringCore
 from currantshore.platform.store import StoreConnection
 from currantshore.wire import Endpoint
 
@@ -24,12 +24,19 @@
 # The store answers in milliseconds; a listing of a page takes a few more.
 _READ_TIMEOUT_S: Final = 1.0
 
-# Pauses between failed calls; the store's rates allow each host several calls
-# a second.
+# Pauses between failed calls; the store's rates allow each reader several
+# calls a second.
 _RETRY_MIN_S: Final = 0.1
 _RETRY_MAX_S: Final = 0.6
 _MAX_DOUBLINGS: Final = 4
 
+# A watch that has not told within this time of a change that other hosts know
+# is taken for silent; two watches of one store differ by milliseconds.
+_BEHIND_S: Final = 0.4
+
+# How often a host that does not read looks whether it should.
+_IDLE_CHECK_S: Final = 0.1
+
 LogHook: TypeAlias = Callable[..., None]
 
 
@@ -37,6 +44,7 @@
     """One kind of object that is read once and then watched."""
 
     name: str
+    is_known: bool
 
     async def step(self) -> None:
         """Make one call and take over what it returned."""
@@ -44,24 +52,22 @@
     def start_over(self) -> None:
         """Read everything again in the next step."""
 
+    def is_behind(self) -> bool:
+        """Tell whether other hosts know of what the store has not told."""
+
 
 class _ConfigurationSubject:
     """Follows the configuration."""
 
-    __slots__ = ('_core', '_log', '_revision', '_store', 'is_known')
+    __slots__ = ('_holdings', '_revision', '_store', '_version', 'is_known')
 
     name = 'configuration'
 
-    def __init__(
-        self,
-        core: SteeringCore,
-        store: StoreConnection,
-        log: LogHook,
-    ) -> None:
-        self._core = core
+    def __init__(self, holdings: Holdings, store: StoreConnection) -> None:
+        self._holdings = holdings
         self._store = store
-        self._log = log
         self._revision = 0
+        self._version = 0
         self.is_known = False
 
     async def step(self) -> None:
@@ -72,38 +78,30 @@
         else:
             found = await self._store.read_configuration(_READ_TIMEOUT_S)
         self._revision = max(self._revision, found.revision)
-        if found.table is None:
-            return
-        self.is_known = True
-        if self._core.configure(found.table):
-            self._log(
-                'configuration_in_force',
-                version=found.table.version,
-                revision=found.revision,
-                routes=len(found.table.routes),
+        if found.table is not None:
+            self.is_known = True
+            self._version = max(self._version, found.table.version)
+            self._holdings.take_configuration(
+                found.table, found.body, 'store', found.revision
             )
 
     def start_over(self) -> None:
         self._revision = 0
 
+    def is_behind(self) -> bool:
+        return self._version < self._holdings.mirror.newest_version
+
 
 class _BackendSubject:
     """Follows the backend servers."""
 
-    __slots__ = ('_core', '_log', '_loop', '_revision', '_store', 'is_known')
+    __slots__ = ('_holdings', '_revision', '_store', 'is_known')
 
     name = 'backend_servers'
 
-    def __init__(
-        self,
-        core: SteeringCore,
-        store: StoreConnection,
-        log: LogHook,
-    ) -> None:
-        self._core = core
+    def __init__(self, holdings: Holdings, store: StoreConnection) -> None:
+        self._holdings = holdings
         self._store = store
-        self._log = log
-        self._loop = asyncio.get_running_loop()
         self._revision = 0
         self.is_known = False
 
@@ -115,14 +113,14 @@
             self._revision, _WAIT_S, _WAIT_S + _OVERDUE_S
         )
         self._revision = max(self._revision, seen.revision)
-        changed = self._core.change_backends(
-            seen.changes, seen.revision, self._loop.time()
-        )
-        self._tell(changed, seen.faults)
+        self._holdings.take_changes(seen.changes, seen.faults)
 
     def start_over(self) -> None:
         self._revision = 0
 
+    def is_behind(self) -> bool:
+        return self._revision < self._holdings.mirror.passed_on_revision
+
     async def _list_all(self) -> None:
         page = await self._store.list_backends('', _READ_TIMEOUT_S)
         # A later page may be newer; the watch starts at the first one.
@@ -136,86 +134,151 @@
             entries += page.entries
             faults += page.faults
         self._revision = revision
-        changed = self._core.list_backends(entries, revision, self._loop.time())
+        self._holdings.take_listing(entries, faults, revision)
         self.is_known = True
-        self._tell(changed, faults)
 
-    def _tell(self, changed: list[str], faults: list[str]) -> None:
-        for fault in faults:
-            self._log('backend_entry_unreadable', fault=fault)
-        for backend_id in changed:
-            backend = self._core.directory.get(backend_id)
-            self._log(
-                'backend_server_changed',
-                backend_id=backend_id,
-                service_id=backend.entry.service_id,
-                standing=backend.standing.value,
-                revision=self._revision,
-            )
+
+class _Watch:
+    """One subject, the call under way and its failures."""
+
+    __slots__ = ('_behind_s', 'call', 'failures', 'subject')
+
+    def __init__(self, subject: _Subject) -> None:
+        self.subject = subject
+        self.call: asyncio.Task[None] | None = None
+        self.failures = 0
+        self._behind_s = 0.0
+
+    def is_silent(self, now_s: float) -> bool:
+        """Tell whether a call under way has missed what others know."""
+        if not self.subject.is_behind():
+            self._behind_s = 0
+            return False
+        self._behind_s = self._behind_s or now_s
+        return now_s - self._behind_s > _BEHIND_S
+
+    async def run_call(self) -> BaseException | None:
+        """Make one call; return what ended it, None for a success."""
+        self._behind_s = 0
+        call = asyncio.get_running_loop().create_task(self.subject.step())
+        self.call = call
+        try:
+            await asyncio.wait((call,))
+        except asyncio.CancelledError:
+            # The task of this host ends, and the call must end with it.
+            call.cancel()
+            raise
+        self.call = None
+        if call.cancelled():
+            return None
+        return call.exception()
 
 
 class StoreFollower:
-    """Keeps the steering core up to date with the store."""
+    """Reads the store while this host's role is to read it."""
 
-    __slots__ = ('_backends', '_configuration', '_log', '_rng')
+    __slots__ = ('_holdings', '_log', '_loop', '_rng', '_watches')
 
     def __init__(
         self,
-        core: SteeringCore,
+        holdings: Holdings,
         endpoint: Endpoint,
         log: LogHook,
         rng: random.Random,
     ) -> None:
         """Follow the store at ``endpoint``."""
+        self._holdings = holdings
         self._log = log
         self._rng = rng
-        self._configuration = _ConfigurationSubject(
-            core, StoreConnection.from_endpoint(endpoint), log
-        )
-        self._backends = _BackendSubject(
-            core, StoreConnection.from_endpoint(endpoint), log
+        self._loop = asyncio.get_running_loop()
+        self._watches = (
+            _Watch(
+                _BackendSubject(
+                    holdings, StoreConnection.from_endpoint(endpoint)
+                ),
+            ),
+            _Watch(
+                _ConfigurationSubject(
+                    holdings, StoreConnection.from_endpoint(endpoint)
+                ),
+            ),
         )
 
-    def is_ready(self) -> bool:
-        """Tell whether both kinds of objects have been read once."""
-        return self._configuration.is_known and self._backends.is_known
-
-    async def follow_configuration(self) -> None:
-        """Follow the configuration until cancelled."""
-        await self._follow(self._configuration)
+    def is_served(self) -> bool:
+        """Tell whether the store answers the calls of this host."""
+        return all(
+            watch.subject.is_known and not watch.failures
+            for watch in self._watches
+        )
 
     async def follow_backends(self) -> None:
         """Follow the backend servers until cancelled."""
-        await self._follow(self._backends)
+        await self._follow(self._watches[0])
 
-    async def _follow(self, subject: _Subject) -> None:
-        failures = 0
+    async def follow_configuration(self) -> None:
+        """Follow the configuration until cancelled."""
+        await self._follow(self._watches[1])
+
+    def check(self) -> None:
+        """End calls that are needless or that have gone silent."""
+        is_reader = self._holdings.mirror.role.is_reader
+        for watch in self._watches:
+            if watch.call is None:
+                continue
+            is_silent = watch.is_silent(self._loop.time())
+            if is_silent:
+                self._log('watch_silent', subject=watch.subject.name)
+            if is_silent or not is_reader:
+                watch.call.cancel()
+
+    async def _follow(self, watch: _Watch) -> None:
+        was_reader = True
         while True:
-            try:
-                await subject.step()
-            except HistoryLostError:
-                self._log('history_lost', subject=subject.name)
-                subject.start_over()
-            except (CallFailedError, StoreRefusedError) as error:
-                failures += 1
-                self._tell_lost(subject, failures, error)
-                await self._pause(failures)
+            is_reader = self._holdings.mirror.role.is_reader
+            if is_reader != was_reader:
+                was_reader = is_reader
+                self._change_role(watch, is_reader=is_reader)
+            if is_reader:
+                await self._call(watch)
             else:
-                self._tell_regained(subject, failures)
-                failures = 0
+                await asyncio.sleep(_IDLE_CHECK_S)
+
+    def _change_role(self, watch: _Watch, *, is_reader: bool) -> None:
+        # What changed since the last call is read anew, not from history.
+        watch.subject.start_over()
+        watch.failures = 0
+        self._log(
+            'reader_role', subject=watch.subject.name, is_reader=is_reader
+        )
 
-    def _tell_lost(
-        self,
-        subject: _Subject,
-        failures: int,
-        error: Exception,
-    ) -> None:
-        if failures == 1:
-            self._log('store_lost', subject=subject.name, error=str(error))
+    async def _call(self, watch: _Watch) -> None:
+        match await watch.run_call():
+            case None:
+                self._tell_regained(watch)
+                watch.failures = 0
+            case HistoryLostError():
+                self._log('history_lost', subject=watch.subject.name)
+                watch.subject.start_over()
+            case CallFailedError() | StoreRefusedError() as error:
+                watch.failures += 1
+                self._tell_lost(watch, error)
+                await self._pause(watch.failures)
+            case BaseException() as error:
+                raise error
+
+    def _tell_lost(self, watch: _Watch, error: Exception) -> None:
+        if watch.failures == 1:
+            self._log(
+                'store_lost', subject=watch.subject.name, error=str(error)
+            )
 
-    def _tell_regained(self, subject: _Subject, failures: int) -> None:
-        if failures:
-            self._log('store_regained', subject=subject.name, failures=failures)
+    def _tell_regained(self, watch: _Watch) -> None:
+        if watch.failures:
+            self._log(
+                'store_regained',
+                subject=watch.subject.name,
+                failures=watch.failures,
+            )
 
     async def _pause(self, failures: int) -> None:
         doublings = min(failures, _MAX_DOUBLINGS)
--- /dev/null
+++ b/src/currantshore/internal/entry/holdings.py
@@ -0,0 +1,126 @@
+"""What a host holds of configuration and backend servers, and from whom.
+
+Every source (the store, other hosts) hands over here, so that each change of
+what the host believes is logged once, with its origin and revision.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable, Sequence
+from typing import TypeAlias
+
+from currantshore.internal.mirror.core import MirrorCore, Sending
+from currantshore.internal.mirror.messages import Listing
+from currantshore.internal.steering.catalog import (
+    BackendEntry,
+    BackendRemoved,
+    RoutingTable,
+)
+from currantshore.internal.steering.core import SteeringCore
+
+SpreadHook: TypeAlias = Callable[[Iterable[Sending]], None]
+
+
+class Holdings:
+    """Takes over what sources deliver, and passes on what is new."""
+
+    __slots__ = (
+        '_log',
+        '_loop',
+        '_steering',
+        'configuration_body',
+        'is_listed',
+        'mirror',
+        'on_news',
+    )
+
+    def __init__(
+        self,
+        steering: SteeringCore,
+        mirror: MirrorCore,
+        log: Callable[..., None],
+    ) -> None:
+        """Start with nothing."""
+        self._steering = steering
+        self._log = log
+        self._loop = asyncio.get_running_loop()
+        self.mirror = mirror
+        self.configuration_body = b''
+        self.is_listed = False
+        # Sends messages to other hosts; set when the sockets are open.
+        self.on_news: SpreadHook = _send_nowhere
+
+    def is_complete(self) -> bool:
+        """Tell whether packets can be forwarded."""
+        return bool(self.is_listed and self._steering.table.version)
+
+    def take_configuration(
+        self,
+        table: RoutingTable,
+        body: bytes,
+        origin: str,
+        revision: int = 0,
+    ) -> None:
+        """Take a configuration that ``origin`` delivered."""
+        if not self.mirror.take_configuration(table):
+            return
+        self.configuration_body = body
+        self._log(
+            'configuration_in_force',
+            version=table.version,
+            revision=revision,
+            routes=len(table.routes),
+            origin=origin,
+        )
+        self.on_news(self.mirror.spread())
+
+    def take_listing(
+        self,
+        entries: Sequence[BackendEntry],
+        faults: Iterable[str],
+        revision: int,
+    ) -> None:
+        """Take the store's complete list of backend servers."""
+        changed = self.mirror.take_listing(entries, revision, self._loop.time())
+        self.is_listed = True
+        self.tell_changed(changed, 'store', faults)
+
+    def take_changes(
+        self,
+        changes: Iterable[BackendEntry | BackendRemoved],
+        faults: Iterable[str],
+    ) -> None:
+        """Take changes of backend servers from the store."""
+        changed = self.mirror.take_changes(changes, self._loop.time())
+        self.tell_changed(changed, 'store', faults)
+        if changed:
+            self.on_news(self.mirror.spread())
+
+    def take_peer_listing(self, listing: Listing, host: str) -> None:
+        """Take the complete list of another host."""
+        changed = self.mirror.on_listing(listing, self._loop.time())
+        self.is_listed = True
+        self.tell_changed(changed, host)
+
+    def tell_changed(
+        self,
+        changed: Iterable[str],
+        origin: str,
+        faults: Iterable[str] = (),
+    ) -> None:
+        """Log what changed of the backend servers."""
+        for fault in faults:
+            self._log('backend_entry_unreadable', fault=fault)
+        for backend_id in changed:
+            backend = self._steering.directory.get(backend_id)
+            self._log(
+                'backend_server_changed',
+                backend_id=backend_id,
+                service_id=backend.entry.service_id,
+                standing=backend.standing.value,
+                revision=backend.entry.revision,
+                origin=origin,
+            )
+
+
+def _send_nowhere(_: Iterable[Sending]) -> None:
+    """Drop messages until the sockets are open."""
--- a/src/currantshore/internal/entry/host.py
+++ b/src/currantshore/internal/entry/host.py
@@ -2,17 +2,27 @@
 
 import asyncio
 import random
+import time
 from collections.abc import Awaitable, Callable
 from typing import Final
 
 from currantshore.internal.entry.following import StoreFollower
 from currantshore.internal.entry.forwarding import Forwarder
+from currantshore.internal.entry.holdings import Holdings
+from currantshore.internal.entry.peering import Peering
+from currantshore.internal.entry.peering import (
+    TICK_INTERVAL_S as MIRROR_TICK_S,
+)
 from currantshore.internal.entry.settings import EntrySettings
+from currantshore.internal.hashing import stable_hash
 from currantshore.internal.httpserver import Page, PageServer
+from currantshore.internal.mirror.core import MirrorConfig, MirrorCore
 from currantshore.internal.steering.core import Refusal, SteeringCore
 from currantshore.internal.steering.directory import Backend
+from currantshore.wire import Endpoint
 
 _OK: Final = 200
+_MILLISECONDS: Final = 1000
 _UNAVAILABLE: Final = 503
 
 # Routers look twice a second and take a host out after two misses; a third
@@ -39,6 +49,10 @@
     __slots__ = (
         '_core',
         '_follower',
+        '_holdings',
+        '_mirror',
+        '_peer_server',
+        '_peering',
         '_forwarder',
         '_is_leaving',
         '_log',
@@ -63,10 +77,23 @@
         self._is_leaving = False
         self._was_ready = False
         self._tasks: set[asyncio.Task[None]] = set()
-        seed = hash((settings.host_id, self._loop.time()))
+        started_ms = round(time.time() * _MILLISECONDS)
+        seed = stable_hash(settings.host_id, started_ms)
+        own = settings.packet_address.host
         self._core = SteeringCore.from_config(settings.zone, seed)
+        self._mirror = MirrorCore.from_config(
+            MirrorConfig(
+                own,
+                settings.zone,
+                started_ms,
+                tuple(one.host for one in settings.seed_addresses),
+                seed,
+            ),
+            self._core,
+        )
+        self._holdings = Holdings(self._core, self._mirror, log)
         self._follower = StoreFollower(
-            self._core, settings.store_address, log, random.Random(seed)
+            self._holdings, settings.store_address, log, random.Random(seed)
         )
 
     async def start(self) -> None:
@@ -84,6 +111,14 @@
             settings.ready_address, {'/readyz': self._tell_ready}
         )
         self._start(self._forwarder.run_ticks)
+        internal = Endpoint(
+            settings.packet_address.host, settings.internal_ports[0]
+        )
+        self._peering = Peering.open_at(self._holdings, internal, self._log)
+        self._peer_server = await PageServer.start_at(
+            internal, self._peering.pages()
+        )
+        self._start(self._run_mirror)
         self._log('started', host_id=settings.host_id, zone=settings.zone)
 
     def request_stop(self) -> None:
@@ -104,8 +139,21 @@
         for task in self._tasks:
             task.cancel()
         self._forwarder.close()
+        self._peering.close()
+        self._peer_server.close()
         self._ready_server.close()
 
+    async def _run_mirror(self) -> None:
+        while True:
+            actions = self._mirror.tick(
+                self._loop.time(),
+                is_served=self._follower.is_served(),
+                is_leaving=self._is_leaving,
+            )
+            self._peering.send_all(actions.sendings)
+            self._follower.check()
+            await asyncio.sleep(MIRROR_TICK_S)
+
     def _may_stop(self, started_s: float, longest_s: float) -> bool:
         now_s = self._loop.time()
         if now_s - started_s >= longest_s:
@@ -115,7 +163,7 @@
         return now_s - self._forwarder.last_packet_s >= _QUIET_S
 
     def _tell_ready(self) -> Page:
-        is_ready = self._follower.is_ready() and not self._is_leaving
+        is_ready = self._holdings.is_complete() and not self._is_leaving
         if is_ready and not self._was_ready:
             self._was_ready = True
             self._log('ready', backends=len(self._core.directory.entries()))
--- /dev/null
+++ b/src/currantshore/internal/mirror/__init__.py
@@ -0,0 +1,1 @@
+"""How hosts learn configuration and backend servers from each other."""
--- /dev/null
+++ b/src/currantshore/internal/mirror/core.py
@@ -0,0 +1,358 @@
+"""Decides what hosts tell each other about configuration and servers.
+
+New facts are passed on at once to a few hosts (an epidemic, after Demers et
+al., "Epidemic algorithms for replicated database maintenance", 1987); digests
+twice a second repair what was lost. What a host sends does not grow with the
+number of hosts.
+"""
+
+import dataclasses
+import random
+from collections.abc import Iterable, Sequence
+from typing import Final, NamedTuple, Self
+
+from currantshore.internal.mirror.changelog import ChangeLog
+from currantshore.internal.mirror.messages import (
+    Ask,
+    Beat,
+    Changes,
+    Digest,
+    Listing,
+    Message,
+    list_entry,
+    read_entry,
+    unpack_changes,
+)
+from currantshore.internal.mirror.neighbours import Neighbours
+from currantshore.internal.mirror.readerrole import (
+    BEAT_INTERVAL_S,
+    HeardBeat,
+    ReaderRole,
+)
+from currantshore.internal.steering.catalog import (
+    BackendEntry,
+    BackendRemoved,
+    RoutingTable,
+)
+from currantshore.internal.steering.core import SteeringCore
+
+# Hosts that get a digest in each interval, and a new fact at once: an epidemic
+# of this width reaches 640 hosts of a zone in about five steps.
+_NEAR_TARGETS: Final = 3
+_FAR_TARGETS: Final = 1
+
+_TOLD_NEIGHBOURS: Final = 4
+_MAX_BEATS: Final = 8
+
+# Beats older than this say nothing about the store any more.
+_BEAT_LIFE_S: Final = 10.0
+
+# While a served beat is this fresh, this host holds what the store holds.
+_CURRENT_S: Final = 2.5
+
+# A question that is not answered is repeated, to another host.
+_ASK_PAUSE_S: Final = 0.25
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MirrorConfig:
+    """Who this host is: its IP number, zone and time of start."""
+
+    host: str
+    zone: str
+    started_ms: int
+    seeds: tuple[str, ...]
+    seed: int
+
+
+class Sending(NamedTuple):
+    """A message and the IP number of the host that gets it."""
+
+    host: str
+    message: Message
+
+
+@dataclasses.dataclass(slots=True)
+class MirrorActions:
+    """What the adapters are asked to do.
+
+    ``configuration_from`` and ``listing_from`` name the host to fetch the
+    configuration or the complete list of servers from; empty for none.
+    """
+
+    sendings: list[Sending] = dataclasses.field(default_factory=list)
+    configuration_from: str = ''
+    listing_from: str = ''
+
+
+class MirrorCore:
+    """Keeps a host's configuration and servers equal to the newest known."""
+
+    __slots__ = (
+        '_asked_s',
+        '_beat_count',
+        '_beats',
+        '_config',
+        '_log',
+        '_neighbours',
+        '_rng',
+        '_steering',
+        '_ticked_s',
+        'newest_revision',
+        'newest_version',
+        'passed_on_revision',
+        'role',
+    )
+
+    def __init__(self, config: MirrorConfig, steering: SteeringCore) -> None:
+        """Prefer ``from_config``."""
+        self._config = config
+        self._steering = steering
+        self._rng = random.Random(config.seed)
+        self._log = ChangeLog()
+        self._neighbours = Neighbours(config.host, self._rng)
+        self._beats: dict[str, HeardBeat] = {}
+        self._beat_count = 0
+        self._asked_s = 0.0
+        self._ticked_s = 0.0
+        self.newest_revision = 0
+        self.newest_version = 0
+        # The newest change that came from a host and not from the store.
+        self.passed_on_revision = 0
+        self.role = ReaderRole(config.host, config.zone)
+
+    @classmethod
+    def from_config(
+        cls,
+        config: MirrorConfig,
+        steering: SteeringCore,
+    ) -> Self:
+        """Build the mirror of the host that ``config`` names."""
+        return cls(config, steering)
+
+    @property
+    def revision(self) -> int:
+        """The revision up to which all changes of servers are known."""
+        return self._log.revision
+
+    def listing(self) -> Listing:
+        """Return all servers that the store lists, as far as known."""
+        entries = self._steering.directory.entries().values()
+        return Listing(
+            self._log.revision, tuple(list_entry(entry) for entry in entries)
+        )
+
+    def on_message(
+        self,
+        host: str,
+        message: Message,
+        now_s: float,
+    ) -> MirrorActions:
+        """Take a message of another host."""
+        match message:
+            case Digest():
+                return self._on_digest(host, message, now_s)
+            case Ask():
+                return MirrorActions(
+                    self._missing(host, message.backend_revision)
+                )
+            case Changes():
+                return self._on_changes(host, message, now_s)
+
+    def on_listing(self, listing: Listing, now_s: float) -> list[str]:
+        """Take a complete list of another host; return what changed."""
+        if listing.revision <= self._log.revision:
+            return []
+        entries = [read_entry(listed) for listed in listing.listed]
+        return self.take_listing(entries, listing.revision, now_s)
+
+    def take_listing(
+        self,
+        entries: Sequence[BackendEntry],
+        revision: int,
+        now_s: float,
+    ) -> list[str]:
+        """Take a complete list of ``revision``; return the ids that changed."""
+        if revision < self._log.revision:
+            return []
+        self._log.start_over(revision)
+        self.newest_revision = max(self.newest_revision, revision)
+        return self._steering.list_backends(entries, revision, now_s)
+
+    def take_changes(
+        self,
+        changes: Iterable[BackendEntry | BackendRemoved],
+        now_s: float,
+    ) -> list[str]:
+        """Take changes from the store; return the ids that changed."""
+        taken = list(changes)
+        self._log.add(taken)
+        self.newest_revision = max(self.newest_revision, self._log.revision)
+        return self._steering.change_backends(taken, self.revision, now_s)
+
+    def take_configuration(self, table: RoutingTable) -> bool:
+        """Put a configuration in force; tell whether it was newer."""
+        self.newest_version = max(self.newest_version, table.version)
+        return self._steering.configure(table)
+
+    def spread(self) -> list[Sending]:
+        """Tell a few hosts at once what is new."""
+        digest = self._digest(is_leaving=False)
+        return [Sending(host, digest) for host in self._targets()]
+
+    def tick(
+        self,
+        now_s: float,
+        *,
+        is_served: bool,
+        is_leaving: bool,
+    ) -> MirrorActions:
+        """Decide who reads; send a digest when it is time for one."""
+        actions = MirrorActions()
+        self._expire_beats(now_s)
+        self.role.decide(
+            self._beats,
+            self._neighbours.of_zone(self._config.zone),
+            is_served=is_served,
+            now_s=now_s,
+        )
+        self._steering.is_current = self._is_current(
+            is_served=is_served, now_s=now_s
+        )
+        if now_s - self._ticked_s < BEAT_INTERVAL_S:
+            return actions
+        self._ticked_s = now_s
+        self._neighbours.forget_silent(now_s)
+        if self.role.is_reader and not is_leaving:
+            self._beat(is_served=is_served, now_s=now_s)
+        digest = self._digest(is_leaving=is_leaving)
+        actions.sendings = [Sending(host, digest) for host in self._targets()]
+        return actions
+
+    def _on_digest(
+        self,
+        host: str,
+        digest: Digest,
+        now_s: float,
+    ) -> MirrorActions:
+        actions = MirrorActions()
+        is_new = host not in self._neighbours
+        self._neighbours.learn(digest.neighbours, now_s)
+        if digest.is_leaving:
+            self._neighbours.drop(host)
+            self._beats.pop(host, None)
+        else:
+            self._neighbours.hear(host, digest.zone, now_s)
+        for beat in digest.beats:
+            self._hear_beat(beat, now_s)
+        self.newest_revision = max(
+            self.newest_revision, digest.backend_revision
+        )
+        self.newest_version = max(
+            self.newest_version, digest.configuration_version
+        )
+        if digest.configuration_version > self._steering.table.version:
+            actions.configuration_from = host
+        if digest.backend_revision > self._log.revision:
+            actions.sendings += self._ask(host, now_s)
+        if digest.backend_revision < self._log.revision:
+            actions.sendings += self._missing(host, digest.backend_revision)
+        is_behind = digest.configuration_version < self._steering.table.version
+        if is_new or is_behind:
+            reply = self._digest(is_leaving=False)
+            actions.sendings.append(Sending(host, reply))
+        return actions
+
+    def _ask(self, host: str, now_s: float) -> list[Sending]:
+        if now_s - self._asked_s < _ASK_PAUSE_S:
+            return []
+        self._asked_s = now_s
+        return [Sending(host, Ask(self._log.revision))]
+
+    def _missing(self, host: str, revision: int) -> list[Sending]:
+        messages = self._log.after(revision)
+        if messages is None:
+            # The mark of -1 says that there is no common history.
+            messages = [Changes(-1, self._log.revision, (), ())]
+        return [Sending(host, one) for one in messages]
+
+    def _on_changes(
+        self,
+        host: str,
+        message: Changes,
+        now_s: float,
+    ) -> MirrorActions:
+        if message.revision <= self._log.revision:
+            return MirrorActions()
+        if message.after_revision < 0:
+            return MirrorActions(listing_from=host)
+        if message.after_revision > self._log.revision:
+            return MirrorActions(self._ask(host, now_s))
+        self.take_changes(unpack_changes(message), now_s)
+        self.passed_on_revision = self._log.revision
+        self._asked_s = 0
+        return MirrorActions(self.spread())
+
+    def _hear_beat(self, beat: Beat, now_s: float) -> None:
+        if beat.host == self._config.host:
+            return
+        heard = self._beats.get(beat.host)
+        if heard is None:
+            self._beats[beat.host] = HeardBeat(beat, now_s)
+        elif beat.is_newer_than(heard.beat):
+            heard.beat = beat
+            heard.heard_s = now_s
+            if beat.is_served:
+                heard.served_s = now_s
+
+    def _expire_beats(self, now_s: float) -> None:
+        for host, heard in tuple(self._beats.items()):
+            if now_s - heard.heard_s > _BEAT_LIFE_S:
+                self._beats.pop(host)
+
+    def _beat(self, *, is_served: bool, now_s: float) -> None:
+        self._beat_count += 1
+        config = self._config
+        beat = Beat(
+            config.host,
+            config.zone,
+            config.started_ms,
+            self._beat_count,
+            is_served,
+        )
+        self._beats[config.host] = HeardBeat(beat, now_s)
+
+    def _is_current(self, *, is_served: bool, now_s: float) -> bool:
+        if self.newest_version > self._steering.table.version:
+            return False
+        if self.newest_revision > self._log.revision:
+            return False
+        if is_served and self.role.is_reader:
+            return True
+        return any(
+            now_s - heard.served_s < _CURRENT_S
+            for heard in self._beats.values()
+        )
+
+    def _digest(self, *, is_leaving: bool) -> Digest:
+        newest = sorted(
+            self._beats.values(), key=lambda heard: heard.heard_s, reverse=True
+        )
+        return Digest(
+            self._config.zone,
+            self._steering.table.version,
+            self._log.revision,
+            tuple(heard.beat for heard in newest[:_MAX_BEATS]),
+            self._neighbours.sample(_TOLD_NEIGHBOURS),
+            is_leaving,
+        )
+
+    def _targets(self) -> list[str]:
+        targets = self._neighbours.pick(
+            self._config.zone, _NEAR_TARGETS, _FAR_TARGETS
+        )
+        if targets:
+            return targets
+        return [
+            host for host in self._config.seeds if host != self._config.host
+        ]
--- /dev/null
+++ b/src/currantshore/internal/mirror/readerrole.py
@@ -0,0 +1,142 @@
+"""Which hosts read the store.
+
+The load that this answers: each call to the store is paid for and its rates
+grow more slowly than the fleet, so that not every host may watch it; and the
+store may turn away single hosts, or all, while a zone must go on learning.
+
+One host of each availability zone reads. Nobody appoints it: a reader sends
+beats, which hosts pass on; a host that hears no beat of a served reader of its
+zone for a while becomes one, the sooner the higher it ranks among the hosts
+that it knows; of two served readers the one of lower rank stops. A host alone
+is a reader.
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+from currantshore.internal.hashing import stable_hash
+from currantshore.internal.mirror.messages import Beat
+
+# Beats go out twice a second and reach a zone of 20 hosts in 1 to 2 s.
+BEAT_INTERVAL_S: Final = 0.5
+_SILENCE_S: Final = 2.5
+
+# Each rank waits this much longer, so that the beats of a host that has begun
+# arrive before the next ones begin; a rank beyond the last waits no longer,
+# since the hosts before it may have gone.
+_RANK_STEP_S: Final = 0.4
+_LAST_RANK: Final = 6
+
+# A reader that the store does not answer stays one this long before another
+# served reader replaces it, and lets others try after as long.
+_UNSERVED_S: Final = 0.6
+
+# Hosts of a zone that keep trying while the store answers nobody.
+_MAX_UNSERVED_READERS: Final = 2
+
+# Two readers run side by side this long before one stops, so that a beat that
+# is on its way does not make both stop.
+_OVERLAP_S: Final = 1.5
+
+
+class HeardBeat:
+    """The newest beat of a reader and when it came."""
+
+    __slots__ = ('beat', 'heard_s', 'served_s')
+
+    def __init__(self, beat: Beat, now_s: float) -> None:
+        """Store ``beat``."""
+        self.beat = beat
+        self.heard_s = now_s
+        self.served_s = now_s if beat.is_served else 0.0
+
+
+class ReaderRole:
+    """Decides whether this host reads the store."""
+
+    __slots__ = (
+        '_host',
+        '_outranked_s',
+        '_served_s',
+        '_zone',
+        'is_reader',
+    )
+
+    def __init__(self, host: str, zone: str) -> None:
+        """Start as a reader: a started host has nobody to learn from yet."""
+        self._host = host
+        self._zone = zone
+        self._outranked_s = 0.0
+        self._served_s = 0.0
+        self.is_reader = True
+
+    def decide(
+        self,
+        beats: Mapping[str, HeardBeat],
+        zone_hosts: Iterable[str],
+        *,
+        is_served: bool,
+        now_s: float,
+    ) -> bool:
+        """Return whether to read from now on.
+
+        ``beats`` are the newest beats by host, ``zone_hosts`` the known hosts
+        of the zone; ``is_served`` tells whether the store answers this host.
+        """
+        if is_served:
+            self._served_s = now_s
+        near = [
+            heard
+            for heard in beats.values()
+            if heard.beat.zone == self._zone
+            and heard.beat.host != self._host
+            and now_s - heard.heard_s < _SILENCE_S
+        ]
+        if self.is_reader:
+            self.is_reader = not self._should_stop(near, now_s)
+        else:
+            is_free = len(near) < _MAX_UNSERVED_READERS
+            self.is_reader = is_free and self._should_begin(
+                beats, zone_hosts, now_s
+            )
+        return self.is_reader
+
+    def _should_stop(self, near: Iterable[HeardBeat], now_s: float) -> bool:
+        served = [heard for heard in near if heard.beat.is_served]
+        is_unserved = now_s - self._served_s > _UNSERVED_S
+        is_outranked = any(
+            self._ranks_before(heard.beat.host) for heard in served
+        )
+        if not (is_outranked or (served and is_unserved)):
+            self._outranked_s = 0
+            return False
+        if not self._outranked_s:
+            self._outranked_s = now_s
+        if now_s - self._outranked_s < _OVERLAP_S:
+            return False
+        self._outranked_s = 0
+        return True
+
+    def _should_begin(
+        self,
+        beats: Mapping[str, HeardBeat],
+        zone_hosts: Iterable[str],
+        now_s: float,
+    ) -> bool:
+        served_s = max(
+            (
+                heard.served_s
+                for heard in beats.values()
+                if heard.beat.zone == self._zone
+            ),
+            default=0,
+        )
+        silent_s = now_s - served_s
+        if silent_s < _SILENCE_S:
+            return False
+        rank = sum(1 for host in zone_hosts if self._ranks_before(host))
+        return silent_s >= _SILENCE_S + _RANK_STEP_S * min(rank, _LAST_RANK)
+
+    def _ranks_before(self, host: str) -> bool:
+        own = (stable_hash(self._host), self._host)
+        return (stable_hash(host), host) < own
--- a/src/currantshore/platform/objects.py
+++ b/src/currantshore/platform/objects.py
@@ -114,9 +114,13 @@
 
 
 class Configured(NamedTuple):
-    """A configuration, None where there is none yet, and its revision."""
+    """A configuration, None where there is none yet, and its revision.
+
+    ``body`` is what ``decode_configuration`` takes, for other hosts.
+    """
 
     table: RoutingTable | None
+    body: bytes
     revision: int
 
 
@@ -173,14 +177,14 @@
             cannot be read.
     """
     page = _page_decoder.decode(body)
-    return Configured(_newest_table(page.items), page.as_of)
+    return _newest_configuration(page.items, page.as_of)
 
 
 def decode_configuration_changes(body: bytes) -> Configured:
     """Decode what a watch of the configuration returned."""
     seen = _events_decoder.decode(body)
     kept = [event.object for event in seen.events if not event.removed]
-    return Configured(_newest_table(kept), seen.as_of)
+    return _newest_configuration(kept, seen.as_of)
 
 
 def decode_configuration(spec: bytes) -> RoutingTable:
@@ -191,15 +195,18 @@
     return RoutingTable(found.version, routes, idle_timeout_s)
 
 
-def _newest_table(objects: Iterable[msgspec.Raw]) -> RoutingTable | None:
-    newest: RoutingTable | None = None
+def _newest_configuration(
+    objects: Iterable[msgspec.Raw],
+    revision: int,
+) -> Configured:
+    newest = Configured(None, b'', revision)
     for raw in objects:
         found = _object_decoder.decode(raw)
         if found.meta.name != 'main':
             continue
         table = decode_configuration(found.spec)
-        if newest is None or table.version > newest.version:
-            newest = table
+        if newest.table is None or table.version > newest.table.version:
+            newest = Configured(table, bytes(found.spec), revision)
     return newest
 
 
--- /dev/null
+++ b/tests/stateful/mirror_world.py
@@ -0,0 +1,203 @@
+"""Entry hosts that tell each other of a store's changes, on a virtual clock.
+
+A store with a list of backend servers and a configuration, hosts with a real
+``MirrorCore`` each, and a network that loses and delays messages, cuts hosts
+from the store, from each other, or both.
+"""
+
+import heapq
+import itertools
+import random
+
+from currantshore.internal.mirror.core import MirrorConfig, MirrorCore
+from currantshore.internal.mirror.messages import decode_message, encode_message
+from currantshore.internal.steering.catalog import BackendRemoved
+from currantshore.internal.steering.core import SteeringCore
+from tests.cover.steering_kit import make_entry, make_table
+
+_STEP_S = 0.05
+_TICK_S = 0.1
+
+
+class Store:
+    """Objects by revision, as the platform holds them."""
+
+    def __init__(self):
+        self.revision = 10
+        self.version = 1
+        self.entries = {}
+        self.changes = []
+
+    def put(self, number, **fields):
+        self.revision += 1
+        entry = make_entry(number, self.revision, **fields)
+        self.entries[entry.backend_id] = entry
+        self.changes.append(entry)
+
+    def remove(self, number):
+        self.revision += 1
+        backend_id = f'i-{number:08x}'
+        self.entries.pop(backend_id, None)
+        self.changes.append(BackendRemoved(backend_id, self.revision))
+
+    def configure(self):
+        self.revision += 1
+        self.version += 1
+
+
+class Host:
+    """One host: its cores, and what its watch has seen of the store."""
+
+    def __init__(self, world, name, zone, now_s):
+        self.name = name
+        self.zone = zone
+        self.steering = SteeringCore.from_config(zone, 1)
+        config = MirrorConfig(
+            name, zone, round(now_s * 1000), world.seeds, hash(name) % 1000
+        )
+        self.mirror = MirrorCore.from_config(config, self.steering)
+        self.seen_revision = 0
+        self.versions = []
+        self.is_served = False
+
+    def note_version(self):
+        version = self.steering.table.version
+        if not self.versions or self.versions[-1] != version:
+            self.versions.append(version)
+
+    def entries(self):
+        return dict(self.steering.directory.entries())
+
+
+class MirrorWorld:
+    """Advances hosts, messages and the store together."""
+
+    def __init__(self, zones, hosts_per_zone, seed, loss_ratio=0.0):
+        self.rng = random.Random(seed)
+        self.now_s = 100.0
+        self.store = Store()
+        self.loss_ratio = loss_ratio
+        self.hosts = {}
+        self.calls = 0
+        self.bytes_sent = 0
+        self.cut_from_store = set()
+        self.cut_zones = set()
+        self.seeds = ()
+        self._order = itertools.count()
+        self._wire = []
+        names = [
+            (f'10.{place}.0.{number}', f'zone-{place}')
+            for place in range(zones)
+            for number in range(hosts_per_zone)
+        ]
+        self.seeds = tuple(name for name, _ in names[:3])
+        for name, zone in names:
+            self.start(name, zone)
+
+    def start(self, name, zone):
+        self.hosts[name] = Host(self, name, zone, self.now_s)
+
+    def kill(self, name):
+        return self.hosts.pop(name)
+
+    def run(self, seconds):
+        end_s = self.now_s + seconds
+        while self.now_s < end_s:
+            self.now_s += _STEP_S
+            self._deliver()
+            is_tick = round(self.now_s / _STEP_S) % round(_TICK_S / _STEP_S)
+            for host in tuple(self.hosts.values()):
+                self._read_store(host)
+                if not is_tick:
+                    self._tick(host)
+                host.note_version()
+
+    def readers(self, zone):
+        return [
+            host.name
+            for host in self.hosts.values()
+            if host.zone == zone and host.mirror.role.is_reader
+        ]
+
+    def behind(self):
+        """Return the hosts that do not hold what the store holds."""
+        return [
+            host.name
+            for host in self.hosts.values()
+            if host.entries() != self.store.entries
+            or host.steering.table.version != self.store.version
+        ]
+
+    def _read_store(self, host):
+        host.is_served = host.name not in self.cut_from_store
+        if not host.mirror.role.is_reader or not host.is_served:
+            return
+        if not host.seen_revision:
+            self.calls += 2
+            entries = list(self.store.entries.values())
+            host.mirror.take_listing(entries, self.store.revision, self.now_s)
+            host.seen_revision = self.store.revision
+            self._configure(host)
+            return
+        newer = [
+            change
+            for change in self.store.changes
+            if change.revision > host.seen_revision
+        ]
+        host.seen_revision = self.store.revision
+        if newer:
+            self.calls += 1
+            host.mirror.take_changes(newer, self.now_s)
+            self._send(host, host.mirror.spread())
+        if host.steering.table.version < self.store.version:
+            self.calls += 1
+            self._configure(host)
+
+    def _configure(self, host):
+        if host.mirror.take_configuration(make_table(self.store.version)):
+            self._send(host, host.mirror.spread())
+
+    def _tick(self, host):
+        actions = host.mirror.tick(
+            self.now_s, is_served=host.is_served, is_leaving=False
+        )
+        self._send(host, actions.sendings)
+
+    def _send(self, host, sendings):
+        for sending in sendings:
+            datagram = encode_message(sending.message)
+            assert len(datagram) <= 1200, len(datagram)
+            self.bytes_sent += len(datagram)
+            if self.rng.random() < self.loss_ratio:
+                continue
+            at_s = self.now_s + self.rng.uniform(0.001, 0.02)
+            item = (at_s, next(self._order), host.name, sending.host, datagram)
+            heapq.heappush(self._wire, item)
+
+    def _deliver(self):
+        while self._wire and self._wire[0][0] <= self.now_s:
+            source, target, datagram = heapq.heappop(self._wire)[2:]
+            host = self.hosts.get(target)
+            if host is None or self._is_cut(source, host):
+                continue
+            actions = host.mirror.on_message(
+                source, decode_message(datagram), self.now_s
+            )
+            self._send(host, actions.sendings)
+            self._fetch(host, source, actions)
+
+    def _is_cut(self, source, host):
+        sender = self.hosts.get(source)
+        if sender is None or sender.zone == host.zone:
+            return False
+        return bool({sender.zone, host.zone} & self.cut_zones)
+
+    def _fetch(self, host, source, actions):
+        peer = self.hosts.get(source)
+        if peer is None:
+            return
+        if actions.listing_from:
+            host.mirror.on_listing(peer.mirror.listing(), self.now_s)
+        if actions.configuration_from:
+            if host.mirror.take_configuration(peer.steering.table):
+                self._send(host, host.mirror.spread())
--- /dev/null
+++ b/tests/stateful/test_mirror.py
@@ -0,0 +1,189 @@
+"""Configuration and backend servers on many hosts under faults.
+
+The bounds are the users': a change is in force within 3 s, and a version that
+a host has used never gives way to an older one.
+"""
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.stateful.mirror_world import MirrorWorld
+
+_IN_FORCE_S = 3.0
+_ZONES = ('zone-0', 'zone-1', 'zone-2')
+
+
+def make_world(hosts_per_zone=3, seed=1, loss_ratio=0.0):
+    world = MirrorWorld(3, hosts_per_zone, seed, loss_ratio)
+    for number in range(1, 8):
+        world.store.put(number)
+    world.run(8.0)
+    return world
+
+
+class ReaderTests(testtools.TestCase):
+    """Guards against a store that every host calls, or that none calls."""
+
+    def test_one_host_of_each_zone_reads_the_store(self):
+        world = make_world(hosts_per_zone=20)
+        for zone in _ZONES:
+            self.assertEqual(1, len(world.readers(zone)), zone)
+        self.assertEqual([], world.behind())
+
+    def test_the_calls_of_a_change_do_not_grow_with_the_hosts(self):
+        calls = []
+        for hosts_per_zone in (2, 20):
+            world = make_world(hosts_per_zone)
+            before = world.calls
+            for number in range(1, 8):
+                world.store.put(number, is_draining=True)
+                world.run(1.0)
+            calls.append(world.calls - before)
+        self.assertEqual(calls[0], calls[1])
+
+    def test_another_host_reads_when_the_reader_has_died(self):
+        world = make_world()
+        for zone in _ZONES:
+            world.kill(world.readers(zone)[0])
+        world.run(4.0)
+        for zone in _ZONES:
+            self.assertEqual(1, len(world.readers(zone)), zone)
+
+    def test_a_host_alone_reads_for_itself(self):
+        world = MirrorWorld(1, 1, 1)
+        world.run(20.0)
+        self.assertEqual(1, len(world.readers('zone-0')))
+
+    def test_an_outage_of_the_store_does_not_make_every_host_try(self):
+        world = make_world(hosts_per_zone=20)
+        world.cut_from_store = set(world.hosts)
+        world.run(6.0)
+        for zone in _ZONES:
+            self.assertLessEqual(len(world.readers(zone)), 4, zone)
+        world.cut_from_store = set()
+        world.store.put(1, is_draining=True)
+        world.run(_IN_FORCE_S)
+        self.assertEqual([], world.behind())
+
+    def test_control_stays_below_two_kilobytes_a_second_on_each_host(self):
+        for hosts_per_zone in (3, 40):
+            world = make_world(hosts_per_zone)
+            before = world.bytes_sent
+            world.run(10.0)
+            spent = (world.bytes_sent - before) / 10 / len(world.hosts)
+            self.assertLess(spent, 2048)
+
+
+class SpreadTests(testtools.TestCase):
+    """Guards against hosts that go on with an old configuration or server."""
+
+    def test_a_change_reaches_every_host_within_the_bound(self):
+        for loss_ratio in (0, 0.1, 0.3):
+            world = make_world(hosts_per_zone=10, loss_ratio=loss_ratio)
+            world.store.configure()
+            world.store.put(3, is_draining=True)
+            world.store.remove(4)
+            world.run(_IN_FORCE_S)
+            self.assertEqual([], world.behind(), loss_ratio)
+
+    def test_a_host_that_the_store_turns_away_learns_from_the_others(self):
+        world = make_world()
+        turned_away = world.readers('zone-1')[0]
+        world.cut_from_store = {turned_away}
+        world.store.configure()
+        world.store.put(2, is_draining=True)
+        world.run(_IN_FORCE_S)
+        self.assertEqual([], world.behind())
+
+    def test_a_zone_without_the_store_learns_from_the_other_zones(self):
+        world = make_world()
+        world.cut_from_store = {
+            host.name for host in world.hosts.values() if host.zone == 'zone-0'
+        }
+        world.store.configure()
+        world.store.put(2, is_draining=True)
+        world.run(_IN_FORCE_S)
+        self.assertEqual([], world.behind())
+
+    def test_a_zone_cut_off_reads_for_itself(self):
+        world = make_world()
+        world.cut_zones = {'zone-0'}
+        world.store.configure()
+        world.run(_IN_FORCE_S)
+        self.assertEqual([], world.behind())
+
+    def test_a_host_that_is_far_behind_takes_the_whole_list(self):
+        world = make_world()
+        late = world.kill('10.0.0.2')
+        for number in range(600):
+            world.store.put(number % 7 + 1, warmup_left_s=number)
+        world.run(1.0)
+        world.hosts['10.0.0.2'] = late
+        world.run(_IN_FORCE_S)
+        self.assertEqual([], world.behind())
+
+    @settings(max_examples=40)
+    @given(
+        st.integers(0, 2**16),
+        st.lists(
+            st.sampled_from(
+                (
+                    'configure',
+                    'put',
+                    'drain',
+                    'remove',
+                    'cut_reader',
+                    'cut_zone',
+                    'heal',
+                    'kill_reader',
+                    'outage',
+                    'wait',
+                )
+            ),
+            max_size=20,
+        ),
+    )
+    def test_no_order_of_faults_reverts_or_loses_a_change(self, seed, steps):
+        world = make_world(seed=seed, loss_ratio=0.05)
+        for step in steps:
+            _play(world, step)
+            world.run(0.3)
+        world.cut_from_store = set()
+        world.cut_zones = set()
+        # Patience to read again, a digest's way through three zones, and the
+        # bound itself.
+        world.run(2.5 + 1.0 + _IN_FORCE_S)
+        self.assertEqual([], world.behind())
+        for host in world.hosts.values():
+            self.assertEqual(sorted(host.versions), host.versions)
+
+
+def _play(world, step):
+    zone = world.rng.choice(_ZONES)
+    number = world.rng.randint(1, 7)
+    readers = world.readers(zone)
+    match step:
+        case 'configure':
+            world.store.configure()
+        case 'put':
+            world.store.put(number)
+        case 'drain':
+            world.store.put(number, is_draining=True)
+        case 'remove':
+            world.store.remove(number)
+        case 'cut_reader':
+            world.cut_from_store |= set(readers)
+        case 'cut_zone':
+            world.cut_zones = {zone}
+        case 'heal':
+            world.cut_from_store = set()
+            world.cut_zones = set()
+        case 'kill_reader' if readers and len(world.hosts) > 4:
+            name = readers[0]
+            world.kill(name)
+            world.start(name, zone)
+        case 'outage':
+            world.cut_from_store = set(world.hosts)
+        case _:
+            world.run(2.0)
