Give a server up only when another one answers at the same time

Ruled out: a longer limit for an attempt alone (a full link delays more than any limit that helps callers); taking entries that lapsed for proof. Change: each attempt has a control, a server that answered last; a failure counts only if the control succeeds with room to spare. Configurations pass between hosts compressed; hosts with faster links rank first as readers; a started host reads once and goes on only if none ranks before it; a watch waits 0.2 s after a change.

--- a/src/currantshore/internal/entry/following.py
+++ b/src/currantshore/internal/entry/following.py
@@ -2,14 +2,15 @@
 
 import asyncio
 import random
-from collections.abc import Callable
-from typing import Final, Protocol, TypeAlias
+from collections import Counter
+from typing import Final, Protocol
 
 from currantshore.errors import (
     CallFailedError,
     HistoryLostError,
     StoreRefusedError,
 )
+from currantshore.internal.entry.decisionlog import DecisionLog
 from currantshore.internal.entry.holdings import Holdings
 from currantshore.internal.steering.catalog import BackendEntry
 from currantshore.platform.store import StoreConnection
@@ -34,11 +35,14 @@
 # is taken for silent; two watches of one store differ by milliseconds.
 _BEHIND_S: Final = 0.4
 
+# Pause after a change before the next watch: what changes meanwhile comes in
+# one answer, and a burst of changes costs a bounded number of calls. It is a
+# small part of the 3 s within which a change has to be in force.
+_GATHER_S: Final = 0.2
+
 # How often a host that does not read looks whether it should.
 _IDLE_CHECK_S: Final = 0.1
 
-LogHook: TypeAlias = Callable[..., None]
-
 
 class _Subject(Protocol):
     """One kind of object that is read once and then watched."""
@@ -177,13 +181,13 @@
 class StoreFollower:
     """Reads the store while this host's role is to read it."""
 
-    __slots__ = ('_holdings', '_log', '_loop', '_rng', '_watches')
+    __slots__ = ('_holdings', '_log', '_loop', '_rng', '_watches', 'calls')
 
     def __init__(
         self,
         holdings: Holdings,
         endpoint: Endpoint,
-        log: LogHook,
+        log: DecisionLog,
         rng: random.Random,
     ) -> None:
         """Follow the store at ``endpoint``."""
@@ -191,6 +195,7 @@
         self._log = log
         self._rng = rng
         self._loop = asyncio.get_running_loop()
+        self.calls: Counter[str] = Counter()
         self._watches = (
             _Watch(
                 _BackendSubject(
@@ -227,7 +232,7 @@
                 continue
             is_silent = watch.is_silent(self._loop.time())
             if is_silent:
-                self._log('watch_silent', subject=watch.subject.name)
+                self._log.write('watch_silent', subject=watch.subject.name)
             if is_silent or not is_reader:
                 watch.call.cancel()
 
@@ -247,17 +252,19 @@
         # What changed since the last call is read anew, not from history.
         watch.subject.start_over()
         watch.failures = 0
-        self._log(
+        self._log.write(
             'reader_role', subject=watch.subject.name, is_reader=is_reader
         )
 
     async def _call(self, watch: _Watch) -> None:
+        self.calls[watch.subject.name] += 1
         match await watch.run_call():
             case None:
                 self._tell_regained(watch)
                 watch.failures = 0
+                await asyncio.sleep(_GATHER_S)
             case HistoryLostError():
-                self._log('history_lost', subject=watch.subject.name)
+                self._log.write('history_lost', subject=watch.subject.name)
                 watch.subject.start_over()
             case CallFailedError() | StoreRefusedError() as error:
                 watch.failures += 1
@@ -268,13 +275,13 @@
 
     def _tell_lost(self, watch: _Watch, error: Exception) -> None:
         if watch.failures == 1:
-            self._log(
+            self._log.write(
                 'store_lost', subject=watch.subject.name, error=str(error)
             )
 
     def _tell_regained(self, watch: _Watch) -> None:
         if watch.failures:
-            self._log(
+            self._log.write(
                 'store_regained',
                 subject=watch.subject.name,
                 failures=watch.failures,
--- a/src/currantshore/internal/entry/forwarding.py
+++ b/src/currantshore/internal/entry/forwarding.py
@@ -7,9 +7,13 @@
 import asyncio
 import socket
 from collections import Counter
-from collections.abc import Callable
-from typing import Final, TypeAlias
+from collections.abc import Iterable
+from typing import Final, Self
 
+from circuits import Component, handler
+
+from currantshore.internal.entry.decisionlog import DecisionLog
+from currantshore.internal.entry.events import CheckWanted
 from currantshore.internal.steering.core import (
     FlowReset,
     Refusal,
@@ -29,57 +33,42 @@
 # zone's uploads, while the processor's quota is used up.
 _BUFFER_SIZE_BYTES: Final = 1024 * 1024
 
-# Called with the flow key and the reason of each packet that is not forwarded.
-RefusalHook: TypeAlias = Callable[[bytes, Refusal], None]
-
-# Called with a server that is to be tried by a connection.
-CheckHook: TypeAlias = Callable[[Backend], None]
 
+class Forwarder(Component):  # type: ignore[misc]
+    """Reads packets, asks the core, and sends them on.
 
-class Forwarder:
-    """Reads packets, asks the core, and sends them on."""
+    Packets pass by method calls; only what is rare passes as an event.
+    """
 
-    __slots__ = (
-        '_caller_port',
-        '_core',
-        '_loop',
-        '_on_check',
-        '_on_refusal',
-        '_socket',
-        'counts',
-        'last_packet_s',
-        'refusals',
-    )
+    channel = 'packets'
 
     def __init__(
         self,
         core: SteeringCore,
         address: Endpoint,
-        on_refusal: RefusalHook,
-        on_check: CheckHook,
+        log: DecisionLog,
     ) -> None:
         """Prefer ``open_at``, which binds the socket."""
         self._core = core
         self._loop = asyncio.get_running_loop()
-        self._on_refusal = on_refusal
-        self._on_check = on_check
+        self._log = log
         # Callers take packets at the port number of this socket.
         self._caller_port = address.port
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.counts: Counter[str] = Counter()
         self.refusals: Counter[Refusal] = Counter()
         self.last_packet_s = self._loop.time()
+        super().__init__()
 
     @classmethod
     def open_at(
         cls,
         core: SteeringCore,
         address: Endpoint,
-        on_refusal: RefusalHook,
-        on_check: CheckHook,
-    ) -> 'Forwarder':
+        log: DecisionLog,
+    ) -> Self:
         """Bind to ``address`` and begin to read; raises ``OSError``."""
-        forwarder = cls(core, address, on_refusal, on_check)
+        forwarder = cls(core, address, log)
         opened = forwarder._socket
         opened.setblocking(False)
         for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
@@ -98,17 +87,20 @@
             actions = self._core.tick(self._loop.time())
             for copy in actions.copies:
                 self.counts['opening_copies'] += 1
-                self._open(copy.datagram, copy.backend)
-            self.reset_all(actions.resets)
+                key = packets.flow_key(copy.datagram)
+                self._open(key, copy.datagram, copy.backend)
             for backend in actions.checks:
-                self._on_check(backend)
+                self.fire(CheckWanted(backend), 'checks')
 
-    def reset_all(self, resets: list[FlowReset]) -> None:
+    @handler('flows_lost')  # type: ignore[untyped-decorator]
+    def on_flows_lost(self, resets: Iterable[FlowReset]) -> None:
         """Tell the callers of flows that have lost their server."""
         for reset in resets:
-            self.refusals[Refusal.BACKEND_SERVER_GONE] += 1
-            self._on_refusal(reset.flow_key, Refusal.BACKEND_SERVER_GONE)
-            self._reset(reset.flow_key, reset.acknowledged)
+            self._refuse(
+                reset.flow_key,
+                Refusal.BACKEND_SERVER_GONE,
+                reset.acknowledged,
+            )
 
     def close(self) -> None:
         """Stop reading and close the socket."""
@@ -140,7 +132,7 @@
         if packets.is_opening(datagram):
             decision = self._core.on_opening(key, address_key, datagram, now_s)
             if isinstance(decision, Backend):
-                self._open(datagram, decision)
+                self._open(key, datagram, decision)
             else:
                 self._refuse(key, decision, 0)
             return
@@ -159,9 +151,18 @@
         else:
             self._refuse(key, decision, segment.acknowledged)
 
-    def _open(self, datagram: bytes, backend: Backend) -> None:
+    def _open(self, key: bytes, datagram: bytes, backend: Backend) -> None:
         entry = backend.entry
         self.counts['openings'] += 1
+        self._log.write_flow(
+            'flow_placed',
+            flow=packets.describe_flow(key),
+            backend_id=entry.backend_id,
+            entry_revision=entry.revision,
+            version=self._core.table.version,
+            requests=len(backend.asked),
+            flows=backend.flow_count,
+        )
         self._send(
             packets.opening_for_backend(
                 datagram, entry.instance, backend.token
@@ -172,7 +173,14 @@
 
     def _refuse(self, key: bytes, refusal: Refusal, sequence: int) -> None:
         self.refusals[refusal] += 1
-        self._on_refusal(key, refusal)
+        self._log.write_flow(
+            'flow_refused',
+            flow=packets.describe_flow(key),
+            reason=refusal.value,
+            is_told=refusal.is_told,
+            version=self._core.table.version,
+            is_current=self._core.is_current,
+        )
         if refusal.is_told:
             self._reset(key, sequence)
 
--- a/src/currantshore/internal/entry/holdings.py
+++ b/src/currantshore/internal/entry/holdings.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import TypeAlias
 
+from currantshore.internal.entry.decisionlog import DecisionLog
 from currantshore.internal.mirror.core import MirrorCore, Sending
 from currantshore.internal.mirror.messages import Listing
 from currantshore.internal.steering.catalog import (
@@ -37,7 +38,7 @@
         self,
         steering: SteeringCore,
         mirror: MirrorCore,
-        log: Callable[..., None],
+        log: DecisionLog,
     ) -> None:
         """Start with nothing."""
         self._steering = steering
@@ -64,7 +65,7 @@
         if not self.mirror.take_configuration(table):
             return
         self.configuration_body = body
-        self._log(
+        self._log.write(
             'configuration_in_force',
             version=table.version,
             revision=revision,
@@ -81,8 +82,7 @@
     ) -> None:
         """Take the store's complete list of backend servers."""
         changed = self.mirror.take_listing(entries, revision, self._loop.time())
-        self.is_listed = True
-        self.tell_changed(changed, 'store', faults)
+        self._tell_listed(changed, 'store', faults)
 
     def take_changes(
         self,
@@ -98,8 +98,26 @@
     def take_peer_listing(self, listing: Listing, host: str) -> None:
         """Take the complete list of another host."""
         changed = self.mirror.on_listing(listing, self._loop.time())
+        self._tell_listed(changed, host)
+
+    def _tell_listed(
+        self,
+        changed: Sequence[str],
+        origin: str,
+        faults: Iterable[str] = (),
+    ) -> None:
+        if self.is_listed:
+            self.tell_changed(changed, origin, faults)
+            return
+        # The first list is one fact, not one for each server.
         self.is_listed = True
-        self.tell_changed(changed, host)
+        self.tell_changed((), origin, faults)
+        self._log.write(
+            'backend_servers_listed',
+            count=len(changed),
+            revision=self.mirror.revision,
+            origin=origin,
+        )
 
     def tell_changed(
         self,
@@ -109,10 +127,10 @@
     ) -> None:
         """Log what changed of the backend servers."""
         for fault in faults:
-            self._log('backend_entry_unreadable', fault=fault)
+            self._log.write('backend_entry_unreadable', fault=fault)
         for backend_id in changed:
             backend = self._steering.directory.get(backend_id)
-            self._log(
+            self._log.write(
                 'backend_server_changed',
                 backend_id=backend_id,
                 service_id=backend.entry.service_id,
--- a/src/currantshore/internal/entry/host.py
+++ b/src/currantshore/internal/entry/host.py
@@ -1,11 +1,14 @@
-"""One entry process: its core, sockets and tasks."""
+"""One entry process: its core, components and tasks."""
 
 import asyncio
+import importlib
 import random
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Final
 
+from currantshore.internal.entry.checking import ConnectionChecker
+from currantshore.internal.entry.decisionlog import DecisionLog
 from currantshore.internal.entry.following import StoreFollower
 from currantshore.internal.entry.forwarding import Forwarder
 from currantshore.internal.entry.holdings import Holdings
@@ -17,13 +20,16 @@
 from currantshore.internal.hashing import stable_hash
 from currantshore.internal.httpserver import Page, PageServer
 from currantshore.internal.mirror.core import MirrorConfig, MirrorCore
+from currantshore.internal.process.runtime import LoopRoot
 from currantshore.internal.steering.core import Refusal, SteeringCore
-from currantshore.internal.steering.directory import Backend
 from currantshore.wire import Endpoint
 
+READY_PATH: Final = '/readyz'
+METRICS_PATH: Final = '/metrics'
+
 _OK: Final = 200
-_MILLISECONDS: Final = 1000
 _UNAVAILABLE: Final = 503
+_MILLISECONDS: Final = 1000
 
 # Routers look twice a second and take a host out after two misses; a third
 # interval is for a probe that was under way.
@@ -36,55 +42,57 @@
 _STOP_RESERVE_S: Final = 1.0
 
 _STOP_CHECK_S: Final = 0.05
-
-# A server answers a connection attempt within two delays of the longest link.
-_CHECK_TIMEOUT_S: Final = 0.12
-
 _RESTART_DELAY_S: Final = 0.2
 
+# Libraries that packets do not need are loaded when the host is ready, or
+# this long after its start where it does not become ready.
+_LOAD_AFTER_S: Final = 2.0
+_LOAD_CHECK_S: Final = 0.1
+
 
 class EntryHost:
     """Forwards packets until it is asked to stop."""
 
     __slots__ = (
+        '_checker',
         '_core',
         '_follower',
-        '_holdings',
-        '_mirror',
-        '_peer_server',
-        '_peering',
         '_forwarder',
+        '_holdings',
         '_is_leaving',
         '_log',
         '_loop',
-        '_ready_server',
+        '_mirror',
+        '_peering',
+        '_render_metrics',
+        '_root',
+        '_servers',
         '_settings',
         '_stop_requested',
         '_tasks',
         '_was_ready',
     )
 
-    def __init__(
-        self,
-        settings: EntrySettings,
-        log: Callable[..., None],
-    ) -> None:
-        """Build all parts; ``start`` opens the sockets."""
+    def __init__(self, settings: EntrySettings, log: DecisionLog) -> None:
+        """Build the decisions; ``start`` opens the sockets."""
         self._settings = settings
         self._log = log
         self._loop = asyncio.get_running_loop()
+        self._root = LoopRoot.from_loop(self._loop, self._on_fault)
         self._stop_requested = asyncio.Event()
         self._is_leaving = False
         self._was_ready = False
+        self._render_metrics: Callable[[], bytes] | None = None
+        self._servers: list[PageServer] = []
         self._tasks: set[asyncio.Task[None]] = set()
         started_ms = round(time.time() * _MILLISECONDS)
         seed = stable_hash(settings.host_id, started_ms)
-        own = settings.packet_address.host
         self._core = SteeringCore.from_config(settings.zone, seed)
         self._mirror = MirrorCore.from_config(
             MirrorConfig(
-                own,
+                settings.packet_address.host,
                 settings.zone,
+                round(settings.link_mbit_per_s),
                 started_ms,
                 tuple(one.host for one in settings.seed_addresses),
                 seed,
@@ -100,48 +108,73 @@
         """Open all sockets and start all tasks; raises ``OSError``."""
         settings = self._settings
         self._forwarder = Forwarder.open_at(
-            self._core,
-            settings.packet_address,
-            self._on_refusal,
-            self._start_check,
-        )
+            self._core, settings.packet_address, self._log
+        ).register(self._root)
         self._start(self._follower.follow_backends)
         self._start(self._follower.follow_configuration)
-        self._ready_server = await PageServer.start_at(
-            settings.ready_address, {'/readyz': self._tell_ready}
+        await self._serve(
+            settings.ready_address, {READY_PATH: self._tell_ready}
         )
         self._start(self._forwarder.run_ticks)
         internal = Endpoint(
             settings.packet_address.host, settings.internal_ports[0]
         )
-        self._peering = Peering.open_at(self._holdings, internal, self._log)
-        self._peer_server = await PageServer.start_at(
-            internal, self._peering.pages()
+        self._peering = Peering.open_at(
+            self._holdings, internal, self._log
+        ).register(self._root)
+        self._checker = ConnectionChecker(self._core, self._log).register(
+            self._root
         )
+        pages = {**self._peering.pages(), METRICS_PATH: self._show_metrics}
+        await self._serve(internal, pages)
+        if settings.control_address is not None:
+            await self._serve(settings.control_address, pages)
         self._start(self._run_mirror)
-        self._log('started', host_id=settings.host_id, zone=settings.zone)
+        self._tasks.add(self._loop.create_task(self._load_libraries()))
+        self._log.write('started', host_id=settings.host_id, zone=settings.zone)
 
     def request_stop(self) -> None:
         """Begin a graceful shutdown; later calls change nothing."""
         self._stop_requested.set()
 
+    def change_settings(self, settings: EntrySettings) -> None:
+        """Take over settings that changed while the process runs.
+
+        Addresses stay until the next start: open flows use them.
+        """
+        if settings == self._settings:
+            return
+        self._settings = settings
+        self._mirror.change_seeds(
+            tuple(one.host for one in settings.seed_addresses)
+        )
+        self._log.write('settings_changed', host_id=settings.host_id)
+
     async def run(self) -> None:
         """Run until a stop is requested and the routers have noticed."""
         await self._stop_requested.wait()
         self._is_leaving = True
         started_s = self._loop.time()
-        self._log('leaving')
+        self._log.write('leaving')
         longest_s = max(0.0, self._settings.grace_s - _STOP_RESERVE_S)
         while not self._may_stop(started_s, longest_s):
             await asyncio.sleep(_STOP_CHECK_S)
         elapsed_s = self._loop.time() - started_s
-        self._log('left', elapsed_s=round(elapsed_s, 3))
+        self._log.write('left', elapsed_s=round(elapsed_s, 3))
         for task in self._tasks:
             task.cancel()
         self._forwarder.close()
         self._peering.close()
-        self._peer_server.close()
-        self._ready_server.close()
+        self._checker.close()
+        for server in self._servers:
+            server.close()
+
+    async def _serve(
+        self,
+        address: Endpoint,
+        pages: Mapping[str, Callable[[], Page]],
+    ) -> None:
+        self._servers.append(await PageServer.start_at(address, pages))
 
     async def _run_mirror(self) -> None:
         while True:
@@ -154,25 +187,73 @@
             self._follower.check()
             await asyncio.sleep(MIRROR_TICK_S)
 
+    async def _load_libraries(self) -> None:
+        latest_s = self._loop.time() + _LOAD_AFTER_S
+        while not self._was_ready and self._loop.time() < latest_s:
+            await asyncio.sleep(_LOAD_CHECK_S)
+        await self._log.load()
+        self._render_metrics = await asyncio.to_thread(self._load_metrics)
+
     def _may_stop(self, started_s: float, longest_s: float) -> bool:
         now_s = self._loop.time()
         if now_s - started_s >= longest_s:
             return True
         if now_s - started_s < _LINGER_S:
             return False
-        return now_s - self._forwarder.last_packet_s >= _QUIET_S
+        quiet_s: float = now_s - self._forwarder.last_packet_s
+        return quiet_s >= _QUIET_S
 
     def _tell_ready(self) -> Page:
         is_ready = self._holdings.is_complete() and not self._is_leaving
         if is_ready and not self._was_ready:
             self._was_ready = True
-            self._log('ready', backends=len(self._core.directory.entries()))
+            self._log.write(
+                'ready', backends=len(self._core.directory.entries())
+            )
         status = _OK if is_ready else _UNAVAILABLE
         return Page(status, 'application/json', b'{}')
 
+    def _show_metrics(self) -> Page:
+        if self._render_metrics is None:
+            return Page(_UNAVAILABLE, 'text/plain', b'loading\n')
+        return Page(_OK, 'text/plain; version=0.0.4', self._render_metrics())
+
+    def _load_metrics(self) -> Callable[[], bytes]:
+        metrics = importlib.import_module('currantshore.internal.entry.metrics')
+        sources = metrics.EntryMetrics(
+            self._counts, self._gauges, self._core.records.latencies
+        )
+        render: Callable[[], bytes] = metrics.build_page(sources)
+        return render
+
+    def _counts(self) -> Mapping[str, Mapping[str, int]]:
+        forwarder = self._forwarder
+        refusals = {
+            reason.value: forwarder.refusals[reason] for reason in Refusal
+        }
+        return {
+            'packets': forwarder.counts,
+            'refusals': refusals,
+            'peer_messages': self._peering.counts,
+            'store_calls': self._follower.calls,
+            'checks': {'attempts': self._checker.attempts},
+            'log_lines': {'lost': self._log.lost},
+        }
+
+    def _gauges(self) -> Mapping[str, float]:
+        return {
+            'flows': len(self._core.records),
+            'backend_servers': len(self._core.directory.entries()),
+            'configuration_version': self._core.table.version,
+            'backend_revision': self._mirror.revision,
+            'known_hosts': self._mirror.known_hosts(),
+            'is_reader': self._mirror.role.is_reader,
+            'is_current': self._core.is_current,
+            'is_ready': self._was_ready and not self._is_leaving,
+        }
+
     def _start(self, work: Callable[[], Awaitable[None]]) -> None:
-        task = self._loop.create_task(self._keep(work))
-        self._tasks.add(task)
+        self._tasks.add(self._loop.create_task(self._keep(work)))
 
     async def _keep(self, work: Callable[[], Awaitable[None]]) -> None:
         # A fault in one task must not end the process and its forwarding.
@@ -180,40 +261,12 @@
             try:
                 await work()
             except Exception as error:
-                self._log(
-                    'task_failed',
-                    task=work.__qualname__,
-                    error=f'{type(error).__name__}: {error}',
-                )
+                self._on_fault(error, work.__qualname__)
             await asyncio.sleep(_RESTART_DELAY_S)
 
-    def _on_refusal(self, flow_key: bytes, refusal: Refusal) -> None:
-        """Count only; the forwarder has counted it already."""
-
-    def _start_check(self, backend: Backend) -> None:
-        task = self._loop.create_task(self._check(backend))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _check(self, backend: Backend) -> None:
-        endpoint = backend.entry.endpoint
-        is_reachable = True
-        try:
-            async with asyncio.timeout(_CHECK_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(
-                    endpoint.host, endpoint.port
-                )
-            writer.close()
-        except (OSError, TimeoutError):
-            is_reachable = False
-        resets = self._core.on_checked(
-            backend, is_reachable=is_reachable, now_s=self._loop.time()
-        )
-        self._log(
-            'backend_server_checked',
-            backend_id=backend.entry.backend_id,
-            is_reachable=is_reachable,
-            health=self._core.health(backend).value,
-            resets=len(resets),
+    def _on_fault(self, error: BaseException, where: str) -> None:
+        self._log.write(
+            'task_failed',
+            task=where,
+            error=f'{type(error).__name__}: {error}',
         )
-        self._forwarder.reset_all(resets)
--- a/src/currantshore/internal/entry/peering.py
+++ b/src/currantshore/internal/entry/peering.py
@@ -2,11 +2,16 @@
 
 import asyncio
 import socket
+import zlib
 from collections import Counter
 from collections.abc import Callable, Iterable
-from typing import Final
+from typing import Final, Self
+
+from circuits import Component, handler
 
 from currantshore.errors import CallFailedError, WireFormatError
+from currantshore.internal.entry.decisionlog import DecisionLog
+from currantshore.internal.entry.events import NewsReady
 from currantshore.internal.entry.holdings import Holdings
 from currantshore.internal.httpconnection import HttpConnection
 from currantshore.internal.httpserver import Page, PageHandler
@@ -34,26 +39,28 @@
 
 TICK_INTERVAL_S: Final = 0.1
 
+# A configuration of 1,300 routes has 250 kB, which takes 0.2 s of a link of
+# 10 Mbit/s; its routes are so alike that the fastest level saves most of it.
+_FAST_COMPRESSION: Final = 1
+
+_FETCH_ERRORS: Final = (
+    CallFailedError,
+    WireFormatError,
+    ValueError,
+    zlib.error,
+)
+
 
-class Peering:
+class Peering(Component):  # type: ignore[misc]
     """Talks to other hosts for the mirror core."""
 
-    __slots__ = (
-        '_fetching',
-        '_holdings',
-        '_log',
-        '_loop',
-        '_port',
-        '_socket',
-        '_tasks',
-        'counts',
-    )
+    channel = 'peers'
 
     def __init__(
         self,
         holdings: Holdings,
         port: int,
-        log: Callable[..., None],
+        log: DecisionLog,
     ) -> None:
         """Prefer ``open_at``, which binds the socket."""
         self._holdings = holdings
@@ -62,16 +69,19 @@
         self._loop = asyncio.get_running_loop()
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._fetching: set[str] = set()
+        self._packed_body = b''
+        self._packed = b''
         self._tasks: set[asyncio.Task[None]] = set()
         self.counts: Counter[str] = Counter()
+        super().__init__()
 
     @classmethod
     def open_at(
         cls,
         holdings: Holdings,
         address: Endpoint,
-        log: Callable[..., None],
-    ) -> 'Peering':
+        log: DecisionLog,
+    ) -> Self:
         """Bind to ``address``; other hosts use the same port number.
 
         Raises ``OSError`` when the address is taken.
@@ -80,7 +90,7 @@
         peering._socket.setblocking(False)
         peering._socket.bind((address.host, address.port))
         peering._loop.add_reader(peering._socket.fileno(), peering._read_batch)
-        holdings.on_news = peering.send_all
+        holdings.on_news = peering.announce
         return peering
 
     def pages(self) -> dict[str, PageHandler]:
@@ -90,6 +100,15 @@
             BACKENDS_PATH: self._show_backends,
         }
 
+    def announce(self, sendings: Iterable[Sending]) -> None:
+        """Queue messages that tell of something new."""
+        self.fire(NewsReady(sendings), 'peers')
+
+    @handler('news_ready')  # type: ignore[untyped-decorator]
+    def on_news_ready(self, sendings: Iterable[Sending]) -> None:
+        """Send what is new to other hosts."""
+        self.send_all(sendings)
+
     def send_all(self, sendings: Iterable[Sending]) -> None:
         """Send messages; what is lost is repaired by later digests."""
         for sending in sendings:
@@ -168,13 +187,16 @@
             answer = await connection.get(path, _FETCH_TIMEOUT_S)
             if answer.status == _OK:
                 take(host, answer.body)
-        except (CallFailedError, WireFormatError, ValueError) as error:
-            self._log('fetch_failed', host=host, path=path, error=str(error))
+        except _FETCH_ERRORS as error:
+            self._log.write(
+                'fetch_failed', host=host, path=path, error=str(error)
+            )
         finally:
             connection.close()
             self._fetching.discard(path)
 
-    def _take_configuration(self, host: str, body: bytes) -> None:
+    def _take_configuration(self, host: str, packed: bytes) -> None:
+        body = zlib.decompress(packed)
         self._holdings.take_configuration(
             decode_configuration(body), body, host
         )
@@ -184,8 +206,12 @@
 
     def _show_configuration(self) -> Page:
         body = self._holdings.configuration_body
-        status = _OK if body else _UNAVAILABLE
-        return Page(status, 'application/json', body)
+        if not body:
+            return Page(_UNAVAILABLE, 'text/plain', b'not known yet\n')
+        if body is not self._packed_body:
+            self._packed_body = body
+            self._packed = zlib.compress(body, _FAST_COMPRESSION)
+        return Page(_OK, 'application/zlib', self._packed)
 
     def _show_backends(self) -> Page:
         status = _OK if self._holdings.is_listed else _UNAVAILABLE
--- a/src/currantshore/internal/entry/settings.py
+++ b/src/currantshore/internal/entry/settings.py
@@ -38,6 +38,7 @@
     seed_addresses: tuple[Endpoint, ...]
     internal_ports: tuple[int, int]
     store_address: Endpoint
+    link_mbit_per_s: float
     grace_s: float
 
 
@@ -91,6 +92,14 @@
 # Texts by name, and a sentence for each fault.
 _Given: TypeAlias = tuple[dict[str, str], list[str]]
 
+
+def _parse_rate(text: str) -> float:
+    rate = float(text)
+    if rate <= 0:
+        raise ValueError(text)
+    return rate
+
+
 _ADDRESS: Final = 'an IP number and a port as number:port'
 
 SPECS: Final[Mapping[str, _Spec]] = {
@@ -108,6 +117,10 @@
         _parse_ports, 'two ports first,last from 1 to 65535'
     ),
     'store_address': _Spec(parse_address, _ADDRESS),
+    # Bandwidth of the host's own link.
+    'link_mbit_per_s': _Spec(
+        _parse_rate, 'a number above 0, in Mbit/s', '1000'
+    ),
     # The platform's time between the request to stop and the kill.
     'grace_s': _Spec(_parse_seconds, 'a number of seconds up to 3600', '6'),
 }
@@ -149,6 +162,11 @@
     return EntrySettings(**accepted)
 
 
+def settings_file(argv: Sequence[str]) -> str:
+    """Return the path of the settings file that a flag names, or nothing."""
+    return _read_flags(argv)[0].get(_FILE_FLAG, '')
+
+
 def _describe(name: str, text: str | None) -> str:
     accepted = SPECS[name].accepted
     label = f'{flag_name(name)} ({variable_name(name)})'
--- a/src/currantshore/internal/mirror/core.py
+++ b/src/currantshore/internal/mirror/core.py
@@ -19,6 +19,7 @@
     Digest,
     Listing,
     Message,
+    Neighbour,
     list_entry,
     read_entry,
     unpack_changes,
@@ -41,7 +42,7 @@
 _NEAR_TARGETS: Final = 3
 _FAR_TARGETS: Final = 1
 
-_TOLD_NEIGHBOURS: Final = 4
+_TOLD_NEIGHBOURS: Final = 2
 _MAX_BEATS: Final = 8
 
 # Beats older than this say nothing about the store any more.
@@ -56,10 +57,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MirrorConfig:
-    """Who this host is: its IP number, zone and time of start."""
+    """Who this host is: its IP number, zone, bandwidth and time of start."""
 
     host: str
     zone: str
+    link_mbit_per_s: int
     started_ms: int
     seeds: tuple[str, ...]
     seed: int
@@ -96,6 +98,7 @@
         '_log',
         '_neighbours',
         '_rng',
+        '_seeds',
         '_steering',
         '_ticked_s',
         'newest_revision',
@@ -109,6 +112,7 @@
         self._config = config
         self._steering = steering
         self._rng = random.Random(config.seed)
+        self._seeds = config.seeds
         self._log = ChangeLog()
         self._neighbours = Neighbours(config.host, self._rng)
         self._beats: dict[str, HeardBeat] = {}
@@ -119,7 +123,9 @@
         self.newest_version = 0
         # The newest change that came from a host and not from the store.
         self.passed_on_revision = 0
-        self.role = ReaderRole(config.host, config.zone)
+        self.role = ReaderRole(
+            Neighbour(config.host, config.zone, config.link_mbit_per_s)
+        )
 
     @classmethod
     def from_config(
@@ -135,6 +141,14 @@
         """The revision up to which all changes of servers are known."""
         return self._log.revision
 
+    def change_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Use other hosts to begin with when no host is known."""
+        self._seeds = seeds
+
+    def known_hosts(self) -> int:
+        """Return how many other hosts are known."""
+        return len(self._neighbours)
+
     def listing(self) -> Listing:
         """Return all servers that the store lists, as far as known."""
         entries = self._steering.directory.entries().values()
@@ -216,9 +230,7 @@
             is_served=is_served,
             now_s=now_s,
         )
-        self._steering.is_current = self._is_current(
-            is_served=is_served, now_s=now_s
-        )
+        self._steering.is_current = self._is_current(now_s)
         if now_s - self._ticked_s < BEAT_INTERVAL_S:
             return actions
         self._ticked_s = now_s
@@ -242,7 +254,9 @@
             self._neighbours.drop(host)
             self._beats.pop(host, None)
         else:
-            self._neighbours.hear(host, digest.zone, now_s)
+            self._neighbours.hear(
+                Neighbour(host, digest.zone, digest.link_mbit_per_s), now_s
+            )
         for beat in digest.beats:
             self._hear_beat(beat, now_s)
         self.newest_revision = max(
@@ -316,18 +330,19 @@
         beat = Beat(
             config.host,
             config.zone,
+            config.link_mbit_per_s,
             config.started_ms,
             self._beat_count,
             is_served,
         )
         self._beats[config.host] = HeardBeat(beat, now_s)
 
-    def _is_current(self, *, is_served: bool, now_s: float) -> bool:
+    def _is_current(self, now_s: float) -> bool:
         if self.newest_version > self._steering.table.version:
             return False
         if self.newest_revision > self._log.revision:
             return False
-        if is_served and self.role.is_reader:
+        if now_s - self.role.served_s < _CURRENT_S:
             return True
         return any(
             now_s - heard.served_s < _CURRENT_S
@@ -340,6 +355,7 @@
         )
         return Digest(
             self._config.zone,
+            self._config.link_mbit_per_s,
             self._steering.table.version,
             self._log.revision,
             tuple(heard.beat for heard in newest[:_MAX_BEATS]),
@@ -353,6 +369,4 @@
         )
         if targets:
             return targets
-        return [
-            host for host in self._config.seeds if host != self._config.host
-        ]
+        return [host for host in self._seeds if host != self._config.host]
--- a/src/currantshore/internal/mirror/messages.py
+++ b/src/currantshore/internal/mirror/messages.py
@@ -27,6 +27,7 @@
 
     host: str
     zone: str
+    link_mbit_per_s: int
     started_ms: int
     count: int
     is_served: bool
@@ -37,16 +38,18 @@
 
 
 class Neighbour(msgspec.Struct, frozen=True, array_like=True):
-    """The IP number and availability zone of a host."""
+    """The IP number, availability zone and bandwidth of a host."""
 
     host: str
     zone: str
+    link_mbit_per_s: int
 
 
 class Digest(msgspec.Struct, frozen=True, array_like=True, tag='digest'):
     """What a host holds, and the beats and hosts that it has heard of."""
 
     zone: str
+    link_mbit_per_s: int
     configuration_version: int
     backend_revision: int
     beats: tuple[Beat, ...]
--- a/src/currantshore/internal/mirror/readerrole.py
+++ b/src/currantshore/internal/mirror/readerrole.py
@@ -8,14 +8,18 @@
 beats, which hosts pass on; a host that hears no beat of a served reader of its
 zone for a while becomes one, the sooner the higher it ranks among the hosts
 that it knows; of two served readers the one of lower rank stops. A host alone
-is a reader.
+is a reader. Hosts with faster links rank before others, because a reader takes
+in whole configurations and passes them on.
+
+A host that starts reads once, for its first list, and goes on only if it knows
+no host of its zone that ranks before it.
 """
 
 from collections.abc import Iterable, Mapping
 from typing import Final
 
 from currantshore.internal.hashing import stable_hash
-from currantshore.internal.mirror.messages import Beat
+from currantshore.internal.mirror.messages import Beat, Neighbour
 
 # Beats go out twice a second and reach a zone of 20 hosts in 1 to 2 s.
 BEAT_INTERVAL_S: Final = 0.5
@@ -38,6 +42,9 @@
 # is on its way does not make both stop.
 _OVERLAP_S: Final = 1.5
 
+# Hosts that start together have heard of each other by then.
+_START_S: Final = 3.0
+
 
 class HeardBeat:
     """The newest beat of a reader and when it came."""
@@ -55,25 +62,27 @@
     """Decides whether this host reads the store."""
 
     __slots__ = (
-        '_host',
         '_outranked_s',
-        '_served_s',
-        '_zone',
+        '_own',
+        '_rank',
+        '_started_s',
         'is_reader',
+        'served_s',
     )
 
-    def __init__(self, host: str, zone: str) -> None:
+    def __init__(self, own: Neighbour) -> None:
         """Start as a reader: a started host has nobody to learn from yet."""
-        self._host = host
-        self._zone = zone
+        self._own = own
+        self._rank = _rank(own.host, own.link_mbit_per_s)
         self._outranked_s = 0.0
-        self._served_s = 0.0
+        self._started_s = 0.0
+        self.served_s = 0.0
         self.is_reader = True
 
     def decide(
         self,
         beats: Mapping[str, HeardBeat],
-        zone_hosts: Iterable[str],
+        zone_hosts: Iterable[Neighbour],
         *,
         is_served: bool,
         now_s: float,
@@ -83,17 +92,20 @@
         ``beats`` are the newest beats by host, ``zone_hosts`` the known hosts
         of the zone; ``is_served`` tells whether the store answers this host.
         """
-        if is_served:
-            self._served_s = now_s
+        self._started_s = self._started_s or now_s
+        if is_served and self.is_reader:
+            self.served_s = now_s
         near = [
             heard
             for heard in beats.values()
-            if heard.beat.zone == self._zone
-            and heard.beat.host != self._host
+            if heard.beat.zone == self._own.zone
+            and heard.beat.host != self._own.host
             and now_s - heard.heard_s < _SILENCE_S
         ]
         if self.is_reader:
-            self.is_reader = not self._should_stop(near, now_s)
+            is_needless = is_served and self._is_needless(zone_hosts, now_s)
+            is_reader = not self._should_stop(near, now_s)
+            self.is_reader = is_reader and not is_needless
         else:
             is_free = len(near) < _MAX_UNSERVED_READERS
             self.is_reader = is_free and self._should_begin(
@@ -103,10 +115,8 @@
 
     def _should_stop(self, near: Iterable[HeardBeat], now_s: float) -> bool:
         served = [heard for heard in near if heard.beat.is_served]
-        is_unserved = now_s - self._served_s > _UNSERVED_S
-        is_outranked = any(
-            self._ranks_before(heard.beat.host) for heard in served
-        )
+        is_unserved = now_s - self.served_s > _UNSERVED_S
+        is_outranked = any(self._ranks_before(heard.beat) for heard in served)
         if not (is_outranked or (served and is_unserved)):
             self._outranked_s = 0
             return False
@@ -117,26 +127,39 @@
         self._outranked_s = 0
         return True
 
+    def _is_needless(
+        self,
+        zone_hosts: Iterable[Neighbour],
+        now_s: float,
+    ) -> bool:
+        if now_s - self._started_s > _START_S:
+            return False
+        return any(self._ranks_before(host) for host in zone_hosts)
+
     def _should_begin(
         self,
         beats: Mapping[str, HeardBeat],
-        zone_hosts: Iterable[str],
+        zone_hosts: Iterable[Neighbour],
         now_s: float,
     ) -> bool:
         served_s = max(
             (
                 heard.served_s
                 for heard in beats.values()
-                if heard.beat.zone == self._zone
+                if heard.beat.zone == self._own.zone
             ),
             default=0,
         )
+        served_s = max(served_s, self.served_s)
         silent_s = now_s - served_s
         if silent_s < _SILENCE_S:
             return False
         rank = sum(1 for host in zone_hosts if self._ranks_before(host))
         return silent_s >= _SILENCE_S + _RANK_STEP_S * min(rank, _LAST_RANK)
 
-    def _ranks_before(self, host: str) -> bool:
-        own = (stable_hash(self._host), self._host)
-        return (stable_hash(host), host) < own
+    def _ranks_before(self, other: Neighbour | Beat) -> bool:
+        return _rank(other.host, other.link_mbit_per_s) < self._rank
+
+
+def _rank(host: str, link_mbit_per_s: int) -> tuple[int, int, str]:
+    return -link_mbit_per_s, stable_hash(host), host
--- a/src/currantshore/internal/steering/core.py
+++ b/src/currantshore/internal/steering/core.py
@@ -19,17 +19,14 @@
     LAPSE_GRACE_S,
     Backend,
     BackendDirectory,
+    Standing,
 )
 from currantshore.internal.steering.flowrecords import (
     FlowRecord,
     FlowRecords,
     Segment,
 )
-from currantshore.internal.steering.silence import (
-    Health,
-    SilenceWatch,
-    may_reset,
-)
+from currantshore.internal.steering.silence import Health, SilenceWatch
 
 # An opening is sent to a second server when nothing has come back by then:
 # several times the round trip over two links between zones and to the caller.
@@ -225,20 +222,42 @@
         if segment.is_end:
             self.records.drop(flow_key)
             return backend
-        if may_reset(backend, self.health(backend), now_s):
+        if self.health(backend) is Health.DEAD:
             self.records.drop(flow_key)
             return Refusal.BACKEND_SERVER_GONE
         return backend
 
+    def control_of(self, backend: Backend) -> Backend | None:
+        """Return another server, the one that answered a flow last."""
+        return max(
+            (
+                other
+                for other in self.directory.all_backends()
+                if other is not backend
+                and other.standing is not Standing.LAPSED
+                and self.health(other) is Health.ANSWERING
+            ),
+            key=lambda other: other.last_answer_s,
+            default=None,
+        )
+
     def on_checked(
         self,
         backend: Backend,
         *,
         is_reachable: bool,
+        is_control_reachable: bool,
         now_s: float,
     ) -> list[FlowReset]:
-        """Take the outcome of a connection attempt; return flows to reset."""
+        """Take the outcome of a connection attempt; return flows to reset.
+
+        ``is_control_reachable`` tells whether another server was reached at
+        the same time; without that, a failed attempt shows nothing.
+        """
         watch = self._watch(backend)
+        if not is_reachable and not is_control_reachable:
+            watch.note_no_check(now_s)
+            return []
         is_dead = watch.note_check(is_reachable=is_reachable, now_s=now_s)
         if is_reachable:
             backend.last_answer_s = now_s
--- a/src/currantshore/internal/steering/flowrecords.py
+++ b/src/currantshore/internal/steering/flowrecords.py
@@ -9,6 +9,7 @@
 from typing import Final, NamedTuple
 
 from currantshore.internal.steering.directory import Backend
+from currantshore.internal.steering.latencies import LatencyCounts
 
 # A caller has at most this many packets in flight, so that a later one shows
 # that the server acknowledged some.
@@ -70,12 +71,16 @@
 class FlowRecords:
     """Records by flow key, and the evidence that they give on servers."""
 
-    __slots__ = ('_records', '_sweep')
+    __slots__ = ('_records', '_sweep', 'latencies')
 
     def __init__(self) -> None:
         """Start without flows."""
         self._records: dict[bytes, FlowRecord] = {}
         self._sweep: Iterator[bytes] = iter(())
+        self.latencies = {
+            'opening': LatencyCounts(),
+            'first_answer': LatencyCounts(),
+        }
 
     def __len__(self) -> int:
         return len(self._records)
@@ -144,6 +149,7 @@
             asked_s = backend.asked.pop(flow_key, None)
             if asked_s is not None:
                 _note_latency(backend, now_s - asked_s)
+                self.latencies['first_answer'].add(now_s - asked_s)
         if segment.size_bytes:
             self._note_request(flow_key, record, segment, now_s)
 
@@ -186,7 +192,9 @@
         now_s: float,
     ) -> None:
         for tried in record.tried:
-            tried.openings.pop(flow_key, None)
+            opened_s = tried.openings.pop(flow_key, None)
+            if tried is record.backend and opened_s is not None:
+                self.latencies['opening'].add(now_s - opened_s)
         record.is_open = True
         record.datagram = b''
         record.tried = ()
--- a/src/currantshore/internal/steering/silence.py
+++ b/src/currantshore/internal/steering/silence.py
@@ -8,20 +8,18 @@
 
 * an opening, or a request for long, without an answer, and no answer of the
   server to any other flow since: new flows go elsewhere for a while;
-* one of these, and a connection attempt that fails twice: flows of the server
-  are reset;
-* one of these, and an entry that lapsed before the grace: the same.
+* one of these, and two attempts to connect that fail while an attempt to
+  connect to another server, made at the same time, succeeds: flows of the
+  server are reset.
 
-Any answer of the server to any flow ends all of it. A failed connection
-attempt alone permits nothing: it may be this host that is cut off, which is
-why nothing is reset while no server answers.
+Any answer of the server to any flow ends all of it. The other server is the
+control of the trial: a full link or a stalled host delays both.
 """
 
 import enum
 from typing import Final
 
 from currantshore.internal.steering.directory import (
-    LAPSE_GRACE_S,
     Backend,
     Standing,
 )
@@ -115,6 +113,11 @@
         self._check_after_s = now_s + pause_s
         return is_dead and not was_dead
 
+    def note_no_check(self, now_s: float) -> None:
+        """Take an attempt that showed nothing; another may follow."""
+        self._is_checking = False
+        self._check_after_s = now_s + _CHECK_PAUSE_S
+
     def clear(self) -> None:
         """Take a server as answering again."""
         self.health = Health.ANSWERING
@@ -130,20 +133,6 @@
         return True
 
 
-def may_reset(backend: Backend, health: Health, now_s: float) -> bool:
-    """Tell whether flows of ``backend`` have surely lost it."""
-    match health:
-        case Health.DEAD:
-            return True
-        case Health.SUSPECT:
-            return (
-                backend.standing is Standing.LAPSED
-                and now_s - backend.lapsed_s > LAPSE_GRACE_S
-            )
-        case Health.ANSWERING:
-            return False
-
-
 def _is_silent(backend: Backend, now_s: float, late_opening_s: float) -> bool:
     answered_s = backend.last_answer_s
     opening_s = _first(backend.openings)
--- a/tests/cover/test_entry_settings.py
+++ b/tests/cover/test_entry_settings.py
@@ -71,6 +71,7 @@
             ('internal_ports', '7720'),
             ('store_address', ''),
             ('seed_addresses', '10.1.0.1:1,x'),
+            ('link_mbit_per_s', '0'),
             ('grace_s', 'soon'),
             ('grace_s', '-1'),
             ('host_id', 'two words'),
--- a/tests/cover/test_steering_core.py
+++ b/tests/cover/test_steering_core.py
@@ -144,6 +144,14 @@
             self.core.on_segment(key, ADDRESS, other, now_s + 0.01)
         raise AssertionError('never chosen')
 
+    def fail_check(self, backend, now_s, is_control_reachable=True):
+        return self.core.on_checked(
+            backend,
+            is_reachable=False,
+            is_control_reachable=is_control_reachable,
+            now_s=now_s,
+        )
+
     def tick_until(self, start_s, end_s):
         """Tick as the process does; return all that ticks asked for."""
         now_s = start_s
@@ -179,23 +187,47 @@
         seen = self.tick_until(100.015, 100.3)
         (backend,) = {one for actions in seen for one in actions.checks}
         self.assertEqual(1, number_of(backend))
-        first = self.core.on_checked(backend, is_reachable=False, now_s=100.3)
+        first = self.fail_check(backend, 100.3)
         self.assertEqual([], first)
-        second = self.core.on_checked(backend, is_reachable=False, now_s=100.4)
+        second = self.fail_check(backend, 100.4)
         self.assertEqual([(b'flow', 9)], [tuple(one) for one in second])
 
+    def test_a_server_is_not_given_up_while_no_other_is_reached(self):
+        # A full link of this host delays every attempt.
+        self.core.tick(100.0)
+        segment = make_segment(1, sequence=5, acknowledged=9, size=100)
+        self.core.on_segment(b'flow', ADDRESS, segment, 100.0)
+        self.tick_until(100.015, 100.3)
+        backend = self.core.directory.get('i-00000001')
+        for count in range(5):
+            now_s = 100.3 + count / 10
+            resets = self.fail_check(backend, now_s, is_control_reachable=False)
+            self.assertEqual([], resets)
+        found = self.core.on_segment(b'flow', ADDRESS, segment, 101.0)
+        self.assertIs(backend, found)
+
+    def test_a_lapsed_entry_alone_does_not_end_a_flow(self):
+        # The entry of a server that is cut off from the store lapses, too.
+        self.core.tick(100.0)
+        segment = make_segment(1, sequence=5, acknowledged=9, size=100)
+        self.core.on_segment(b'flow', ADDRESS, segment, 100.0)
+        self.core.list_backends([make_entry(2)], 3, 100.0)
+        self.tick_until(100.015, 103.0)
+        found = self.core.on_segment(b'flow', ADDRESS, segment, 103.0)
+        self.assertEqual(1, number_of(found))
+
     def test_an_answer_to_any_flow_ends_the_suspicion(self):
         self.core.tick(100.0)
         late = make_segment(1, sequence=5, acknowledged=9, size=100)
         self.core.on_segment(b'late', ADDRESS, late, 100.0)
         self.tick_until(100.015, 100.25)
         backend = self.core.directory.get('i-00000001')
-        self.core.on_checked(backend, is_reachable=False, now_s=100.25)
+        self.fail_check(backend, 100.25)
         self.core.on_segment(b'other', ADDRESS, make_segment(1), 100.25)
         answered = make_segment(1, acknowledged=700)
         self.core.on_segment(b'other', ADDRESS, answered, 100.26)
         self.core.tick(100.27)
-        resets = self.core.on_checked(backend, is_reachable=False, now_s=100.3)
+        resets = self.fail_check(backend, 100.3)
         self.assertEqual([], resets)
 
 
--- a/tests/stateful/mirror_world.py
+++ b/tests/stateful/mirror_world.py
@@ -53,7 +53,12 @@
         self.zone = zone
         self.steering = SteeringCore.from_config(zone, 1)
         config = MirrorConfig(
-            name, zone, round(now_s * 1000), world.seeds, hash(name) % 1000
+            name,
+            zone,
+            world.links_mbit_per_s.get(name, 10),
+            round(now_s * 1000),
+            world.seeds,
+            len(world.hosts),
         )
         self.mirror = MirrorCore.from_config(config, self.steering)
         self.seen_revision = 0
@@ -79,6 +84,7 @@
         self.loss_ratio = loss_ratio
         self.hosts = {}
         self.calls = 0
+        self.links_mbit_per_s = {}
         self.bytes_sent = 0
         self.cut_from_store = set()
         self.cut_zones = set()
