Call and serve HTTP with one client and one small server everywhere

Cause: the product's object API client and its administrative pages used an HTTP framework, the entry process a client and a server of its own on h11: two copies of one job, and most of the start time of a balancer. Ruled out: the framework for both, which takes 0.2 s to load. Change: PlatformCalls and AdminServer use internal/httpconnection and internal/httpserver; aiohttp is only needed by stand-ins and tests.

--- a/src/currantshore/internal/httpconnection.py
+++ b/src/currantshore/internal/httpconnection.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import socket
+from collections.abc import Mapping
 from typing import Final, NamedTuple, Self
 
 import h11
@@ -44,19 +45,28 @@
     another one. No call is repeated here: its outcome may matter.
     """
 
-    __slots__ = ('_endpoint', '_protocol', '_reader', '_writer')
+    __slots__ = ('_endpoint', '_is_secure', '_protocol', '_reader', '_writer')
 
-    def __init__(self, endpoint: Endpoint) -> None:
+    def __init__(self, endpoint: Endpoint, *, is_secure: bool) -> None:
         """Prefer ``from_endpoint``."""
         self._endpoint = endpoint
+        self._is_secure = is_secure
         self._protocol = h11.Connection(h11.CLIENT)
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
 
     @classmethod
-    def from_endpoint(cls, endpoint: Endpoint) -> Self:
-        """Return a client of the server at ``endpoint``, not connected yet."""
-        return cls(endpoint)
+    def from_endpoint(
+        cls,
+        endpoint: Endpoint,
+        *,
+        is_secure: bool = False,
+    ) -> Self:
+        """Return a client of the server at ``endpoint``, not connected yet.
+
+        ``is_secure`` calls it over TLS.
+        """
+        return cls(endpoint, is_secure=is_secure)
 
     async def get(self, target: str, timeout_s: float) -> HttpAnswer:
         """Return the answer to ``GET target`` within ``timeout_s`` seconds.
@@ -64,13 +74,38 @@
         Raises:
             CallFailedError: no complete answer came; the connection is closed.
         """
+        return await self.call('GET', target, timeout_s)
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        timeout_s: float,
+        *,
+        headers: Mapping[str, str] | None = None,
+        body: bytes = b'',
+    ) -> HttpAnswer:
+        """Return the answer to a call within ``timeout_s`` seconds.
+
+        Raises:
+            CallFailedError: no complete answer came; the connection is closed.
+        """
+        request = h11.Request(
+            method=method,
+            target=target,
+            headers=[
+                ('Host', f'{self._endpoint.host}:{self._endpoint.port}'),
+                ('Content-Length', str(len(body))),
+                *(headers or {}).items(),
+            ],
+        )
         try:
             async with asyncio.timeout(timeout_s):
-                answer = await self._exchange(target)
+                answer = await self._exchange(request, body)
         except (OSError, TimeoutError, h11.ProtocolError) as error:
             self.close()
             raise CallFailedError.from_call(
-                f'GET {target}', self._endpoint, error
+                f'{method} {target}', self._endpoint, error
             ) from error
         except asyncio.CancelledError:
             # The answer of a call given up would be taken for the next one's.
@@ -85,18 +120,13 @@
         self._reader = None
         self._writer = None
 
-    async def _exchange(self, target: str) -> HttpAnswer:
-        if self._writer is None:
-            await self._open()
-        request = h11.Request(
-            method='GET',
-            target=target,
-            headers=[('Host', self._endpoint.host)],
-        )
-        opening = self._protocol.send(request) or b''
-        closing = self._protocol.send(h11.EndOfMessage()) or b''
-        assert self._writer is not None
-        self._writer.write(opening + closing)
+    async def _exchange(self, request: h11.Request, body: bytes) -> HttpAnswer:
+        writer = self._writer
+        if writer is None or self._has_ended():
+            writer = await self._open()
+        parts = (request, h11.Data(data=body), h11.EndOfMessage())
+        sent = [self._protocol.send(part) for part in parts]
+        writer.write(b''.join(piece for piece in sent if piece))
         answer = await self._read_answer()
         if self._protocol.our_state is h11.DONE:
             self._protocol.start_next_cycle()
@@ -104,10 +134,17 @@
             self.close()
         return answer
 
-    async def _open(self) -> None:
+    def _has_ended(self) -> bool:
+        # A server may close a connection between two calls.
+        return self._reader is None or self._reader.at_eof()
+
+    async def _open(self) -> asyncio.StreamWriter:
+        self.close()
         async with asyncio.timeout(_CONNECT_TIMEOUT_S):
             reader, writer = await asyncio.open_connection(
-                self._endpoint.host, self._endpoint.port
+                self._endpoint.host,
+                self._endpoint.port,
+                ssl=self._is_secure or None,
             )
         self._reader = reader
         self._writer = writer
@@ -115,6 +152,7 @@
         with contextlib.suppress(OSError):
             limit_silence(opened)
         self._protocol = h11.Connection(h11.CLIENT)
+        return writer
 
     async def _read_answer(self) -> HttpAnswer:
         status = 0
--- a/src/currantshore/internal/objectapi/platform.py
+++ b/src/currantshore/internal/objectapi/platform.py
@@ -121,7 +121,7 @@
                 'attempts', attempts, 'an integer of at least 1'
             )
         counted = counters or Counters()
-        calls = PlatformCalls(base_url, timeout_s, counted)
+        calls = PlatformCalls(base_url, timeout_s)
         client = cls(calls, rng or random.Random(), counted)
         client._attempts = attempts
         client._backoff_s = backoff_s
@@ -273,8 +273,8 @@
         try:
             return Written(await self.put_if(key, value, version, mark))
         except VersionConflictError as conflict:
-            # The HTTP library repeats a PUT by itself on a connection that
-            # broke, so a conflict can be with this very write.
+            # The answer to an earlier attempt may have been lost, so a
+            # conflict can be with this very write.
             return await self._settle_conflict(key, mark, conflict)
         except PlatformUnavailableError:
             if is_last:
--- a/src/currantshore/internal/objectapi/platformcalls.py
+++ b/src/currantshore/internal/objectapi/platformcalls.py
@@ -1,50 +1,51 @@
 """HTTP calls to the platform's object API: one answer or one exception."""
 
-import types
 from typing import Final
+from urllib.parse import urlsplit
 
-import aiohttp
-
-from currantshore.codes import RetryReason
 from currantshore.errors import (
+    CallFailedError,
     PlatformError,
     PlatformUnavailableError,
     VersionConflictError,
 )
-from currantshore.internal.counters import Counters
+from currantshore.internal.httpconnection import HttpAnswer, HttpConnection
+from currantshore.wire import Endpoint
 
 _NOT_FOUND: Final = 404
 _CONFLICT: Final = 409
 _FIRST_SERVER_ERROR: Final = 500
 _FIRST_ERROR: Final = 400
 
+_PORTS: Final = {'http': 80, 'https': 443}
+
 
 class MissingObjectError(PlatformError):
     """Raised when there is no such object."""
 
 
 class PlatformCalls:
-    """Makes calls over connections that stay open between them."""
+    """Makes calls over connections that stay open between them.
 
-    __slots__ = ('_base_url', '_counters', '_session', '_timeout_s')
+    Calls that overlap use a connection each; idle ones are used again.
+    """
 
-    def __init__(
-        self,
-        base_url: str,
-        timeout_s: float,
-        counters: Counters,
-    ) -> None:
+    __slots__ = ('_base_path', '_endpoint', '_idle', '_is_secure', '_timeout_s')
+
+    def __init__(self, base_url: str, timeout_s: float) -> None:
         """Store the parts; the first call opens a connection."""
-        self._base_url = base_url.rstrip('/')
+        parts = urlsplit(base_url.rstrip('/'))
+        port = parts.port or _PORTS[parts.scheme]
+        self._endpoint = Endpoint(parts.hostname or '', port)
+        self._base_path = parts.path
+        self._is_secure = parts.scheme == 'https'
         self._timeout_s = timeout_s
-        self._counters = counters
-        self._session: aiohttp.ClientSession | None = None
+        self._idle: list[HttpConnection] = []
 
     async def close(self) -> None:
         """Close the connections."""
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
+        while self._idle:
+            self._idle.pop().close()
 
     async def call(
         self,
@@ -67,64 +68,33 @@
             PlatformError: any other refusal.
         """
         headers = {} if version is None else {'If-Match': str(version)}
-        limit = aiohttp.ClientTimeout(total=timeout_s or self._timeout_s)
-        url = f'{self._base_url}{path}'
-        sent = _Sent()
+        connection = self._take_connection()
         try:
-            async with self._open_session().request(
+            answer = await connection.call(
                 method,
-                url,
-                data=data,
+                f'{self._base_path}{path}',
+                timeout_s or self._timeout_s,
                 headers=headers,
-                timeout=limit,
-                trace_request_ctx=sent,
-            ) as response:
-                return _check_answer(
-                    path, response.status, await response.read()
-                )
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise PlatformUnavailableError(
-                f'{method} {path}: {type(error).__name__}: {error}'
-            ) from error
-        finally:
-            self._count_repeats(sent)
-
-    def _count_repeats(self, sent: '_Sent') -> None:
-        # The HTTP library repeats a call once on a connection that broke.
-        for _ in range(1, sent.count):
-            self._counters.retry(RetryReason.PLATFORM_UNAVAILABLE)
-
-    def _open_session(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            trace = aiohttp.TraceConfig()
-            trace.on_request_headers_sent.append(_note_sent)
-            self._session = aiohttp.ClientSession(trace_configs=[trace])
-        return self._session
-
-
-class _Sent:
-    """Counts how often the HTTP library sent one call."""
-
-    __slots__ = ('count',)
-
-    def __init__(self) -> None:
-        self.count = 0
-
-
-async def _note_sent(
-    _session: aiohttp.ClientSession,
-    context: types.SimpleNamespace,
-    _parameters: aiohttp.TraceRequestHeadersSentParams,
-) -> None:
-    sent = context.trace_request_ctx
-    if isinstance(sent, _Sent):
-        sent.count += 1
-
-
-def _check_answer(path: str, status: int, body: bytes) -> bytes:
+                body=data or b'',
+            )
+        except CallFailedError as error:
+            raise PlatformUnavailableError(str(error)) from error
+        self._idle.append(connection)
+        return _check_answer(path, answer)
+
+    def _take_connection(self) -> HttpConnection:
+        if self._idle:
+            return self._idle.pop()
+        return HttpConnection.from_endpoint(
+            self._endpoint, is_secure=self._is_secure
+        )
+
+
+def _check_answer(path: str, answer: HttpAnswer) -> bytes:
+    status = answer.status
     if status < _FIRST_ERROR:
-        return body
-    text = body.decode(errors='replace')
+        return answer.body
+    text = answer.body.decode(errors='replace')
     if status == _NOT_FOUND:
         raise MissingObjectError(f'{path}: {text}')
     if status == _CONFLICT:
--- a/src/currantshore/internal/process/admin.py
+++ b/src/currantshore/internal/process/admin.py
@@ -1,14 +1,16 @@
 """The administrative HTTP interface: metrics and health."""
 
 from collections.abc import Callable
+from typing import Final, Self
 
-from aiohttp import web
 from prometheus_client import CollectorRegistry, generate_latest
 
+from currantshore.internal.httpserver import Page, PageServer
 from currantshore.wire import Endpoint
 
-_OK = 200
-_UNAVAILABLE = 503
+_OK: Final = 200
+_UNAVAILABLE: Final = 503
+_TEXT: Final = 'text/plain; version=0.0.4'
 
 
 class AdminServer:
@@ -18,7 +20,7 @@
     while this balancer should get packets.
     """
 
-    __slots__ = ('_is_ready', '_registry', '_runner', 'address')
+    __slots__ = ('_is_ready', '_registry', '_server', 'address')
 
     def __init__(
         self,
@@ -28,12 +30,8 @@
         """Prefer ``start_at``, which listens."""
         self._registry = registry
         self._is_ready = is_ready
+        self._server: PageServer
         self.address = Endpoint('', 0)
-        application = web.Application()
-        application.router.add_get('/metrics', self._metrics)
-        application.router.add_get('/healthz', self._healthz)
-        application.router.add_get('/readyz', self._readyz)
-        self._runner = web.AppRunner(application, access_log=None)
 
     @classmethod
     async def start_at(
@@ -41,32 +39,32 @@
         address: Endpoint,
         registry: CollectorRegistry,
         is_ready: Callable[[], bool],
-    ) -> 'AdminServer':
+    ) -> Self:
         """Listen on ``address``; raises ``OSError``."""
-        server = cls(registry, is_ready)
-        await server._runner.setup()
-        site = web.TCPSite(server._runner, address.host, address.port)
-        await site.start()
-        host, port = server._runner.addresses[0][:2]
-        server.address = Endpoint(host, port)
-        return server
+        admin = cls(registry, is_ready)
+        admin._server = await PageServer.start_at(
+            address,
+            {
+                '/metrics': admin._show_metrics,
+                '/healthz': _tell_alive,
+                '/readyz': admin._tell_ready,
+            },
+        )
+        admin.address = admin._server.address
+        return admin
 
     async def close(self) -> None:
         """Stop listening."""
-        await self._runner.cleanup()
+        self._server.close()
 
-    async def _metrics(self, request: web.Request) -> web.Response:
-        return web.Response(
-            body=generate_latest(self._registry),
-            headers={'Content-Type': 'text/plain; version=0.0.4'},
-        )
+    def _show_metrics(self) -> Page:
+        return Page(_OK, _TEXT, generate_latest(self._registry))
 
-    async def _healthz(self, request: web.Request) -> web.Response:
-        return web.Response(text='ok\n')
+    def _tell_ready(self) -> Page:
+        if self._is_ready():
+            return Page(_OK, _TEXT, b'ready\n')
+        return Page(_UNAVAILABLE, _TEXT, b'not ready\n')
 
-    async def _readyz(self, request: web.Request) -> web.Response:
-        is_ready = self._is_ready()
-        return web.Response(
-            text='ready\n' if is_ready else 'not ready\n',
-            status=_OK if is_ready else _UNAVAILABLE,
-        )
+
+def _tell_alive() -> Page:
+    return Page(_OK, _TEXT, b'ok\n')
