--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
-PATHS := src tests standins bench tooling
+PATHS := src tests standins bench tooling soak
 
 .PHONY: env test lint format types style demo protos
 
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real entry processes under faults from outside."""
--- a/standins/packetends.py
+++ b/standins/packetends.py
@@ -9,7 +9,7 @@
 import asyncio
 import random
 import struct
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 from currantshore.platform import packets
 
@@ -63,11 +63,19 @@
         )
 
 
+class Opening(NamedTuple):
+    """An opening that a server took: when, for which port, from which host."""
+
+    at_s: float
+    service_port: int
+    entry_host: str
+
+
 class PacketBackend(asyncio.DatagramProtocol):
     """Answers openings and requests; counts what must not happen.
 
-    An opening beyond what the test allows is in ``openings``; packets of flows
-    that it does not hold are in ``strangers``.
+    ``openings`` are all that it took; packets of flows that it does not hold
+    are in ``strangers``.
     """
 
     def __init__(self, name: str, instance: int) -> None:
@@ -75,7 +83,7 @@
         self.name = name
         self.instance = instance
         self.is_silent = False
-        self.openings: list[float] = []
+        self.openings: list[Opening] = []
         self.strangers = 0
         self.requests = 0
         self._flows: set[tuple[int, int]] = set()
@@ -104,7 +112,8 @@
             return
         packet = Packet(data[_PREFIX_SIZE_BYTES:])
         if packet.flags & _SYN:
-            self.openings.append(asyncio.get_running_loop().time())
+            now_s = asyncio.get_running_loop().time()
+            self.openings.append(Opening(now_s, packet.target[1], addr[0]))
             self._flows.add(packet.source)
             self._send(packet, packet.answer(_SYN | _ACK, 1000, 1))
         elif packet.source not in self._flows:
@@ -123,7 +132,8 @@
         host = packets.caller_host(
             struct.pack('<HIIH', packet.source[1], packet.source[0], 0, 0)
         )
-        self._transport.sendto(datagram, (host, self._caller_port))
+        if not self._transport.is_closing():
+            self._transport.sendto(datagram, (host, self._caller_port))
 
 
 class PacketCaller(asyncio.DatagramProtocol):
@@ -217,16 +227,26 @@
         """Send a request through ``entry``; return the answer, if any."""
         for _ in range(tries):
             self._send(entry, _ACK, self.sequence, self.acknowledged, body)
-            packet = await self._receive()
+            packet = await self._receive_answer(self.sequence + len(body))
             if self.is_reset:
                 return b''
-            if packet is not None and packet.body:
+            if packet is not None:
                 self.sequence += len(body)
                 self.acknowledged += len(packet.body)
                 self._send(entry, _ACK, self.sequence, self.acknowledged)
                 return packet.body
         return b''
 
+    async def _receive_answer(self, acknowledged: int) -> Packet | None:
+        while True:
+            packet = await self._receive()
+            if packet is None or self.is_reset:
+                return packet
+            # A copy of a request has its answer copied, too; only the one to
+            # the newest request counts.
+            if packet.body and packet.acknowledged == acknowledged:
+                return packet
+
     async def _receive(self) -> Packet | None:
         try:
             return await asyncio.wait_for(self._inbox.get(), _COPY_AFTER_S)
