--- a/src/currantshore/codes.py
+++ b/src/currantshore/codes.py
@@ -77,3 +77,28 @@
     TOKEN_INVALID = 'token_invalid'
     NOT_READY = 'not_ready'
     REPLY_UNMATCHED = 'reply_unmatched'
+
+
+@enum.unique
+class FlowRefusal(enum.IntEnum):
+    """Why an entry process did not forward a packet of a flow.
+
+    With a code below 350 the caller is told by a reset; with one from 350 it
+    is not, because this host may know less than others.
+    """
+
+    NO_ROUTE = 301
+    ROUTE_REMOVED = 302
+    NO_BACKEND_SERVER = 303
+    BACKEND_SERVER_GONE = 304
+    NOT_CURRENT = 351
+    TOKEN_UNKNOWN = 352
+    SERVICE_MISMATCH = 353
+
+    @property
+    def is_told(self) -> bool:
+        """Tell whether the caller gets a reset rather than silence."""
+        return self < _FIRST_SILENT_REFUSAL
+
+
+_FIRST_SILENT_REFUSAL = 350
--- a/src/currantshore/internal/entry/forwarding.py
+++ b/src/currantshore/internal/entry/forwarding.py
@@ -12,11 +12,11 @@
 
 from circuits import Component, handler
 
+from currantshore.codes import FlowRefusal
 from currantshore.internal.entry.decisionlog import DecisionLog
 from currantshore.internal.entry.events import CheckWanted
 from currantshore.internal.steering.core import (
     FlowReset,
-    Refusal,
     SteeringCore,
     TICK_INTERVAL_S,
 )
@@ -56,7 +56,7 @@
         self._caller_port = address.port
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.counts: Counter[str] = Counter()
-        self.refusals: Counter[Refusal] = Counter()
+        self.refusals: Counter[FlowRefusal] = Counter()
         self.last_packet_s = self._loop.time()
         super().__init__()
 
@@ -98,7 +98,7 @@
         for reset in resets:
             self._refuse(
                 reset.flow_key,
-                Refusal.BACKEND_SERVER_GONE,
+                FlowRefusal.BACKEND_SERVER_GONE,
                 reset.acknowledged,
             )
 
@@ -171,12 +171,13 @@
             entry.endpoint.port,
         )
 
-    def _refuse(self, key: bytes, refusal: Refusal, sequence: int) -> None:
+    def _refuse(self, key: bytes, refusal: FlowRefusal, sequence: int) -> None:
         self.refusals[refusal] += 1
         self._log.write_flow(
             'flow_refused',
             flow=packets.describe_flow(key),
-            reason=refusal.value,
+            reason=refusal.name.lower(),
+            code=refusal.value,
             is_told=refusal.is_told,
             version=self._core.table.version,
             is_current=self._core.is_current,
--- a/src/currantshore/internal/entry/host.py
+++ b/src/currantshore/internal/entry/host.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Final
 
+from currantshore.codes import FlowRefusal
 from currantshore.internal.entry.checking import ConnectionChecker
 from currantshore.internal.entry.decisionlog import DecisionLog
 from currantshore.internal.entry.following import StoreFollower
@@ -21,7 +22,7 @@
 from currantshore.internal.httpserver import Page, PageServer
 from currantshore.internal.mirror.core import MirrorConfig, MirrorCore
 from currantshore.internal.process.runtime import LoopRoot
-from currantshore.internal.steering.core import Refusal, SteeringCore
+from currantshore.internal.steering.core import SteeringCore
 from currantshore.wire import Endpoint
 
 READY_PATH: Final = '/readyz'
@@ -129,8 +130,10 @@
         )
         pages = {**self._peering.pages(), METRICS_PATH: self._show_metrics}
         await self._serve(internal, pages)
-        if settings.control_address is not None:
-            await self._serve(settings.control_address, pages)
+        if settings.metrics_address is not None:
+            await self._serve(
+                settings.metrics_address, {METRICS_PATH: self._show_metrics}
+            )
         self._start(self._run_mirror)
         self._start_once(self._load_log)
         self._log.write('started', host_id=settings.host_id, zone=settings.zone)
@@ -235,7 +238,8 @@
     def _counts(self) -> Mapping[str, Mapping[str, int]]:
         forwarder = self._forwarder
         refusals = {
-            reason.value: forwarder.refusals[reason] for reason in Refusal
+            reason.name.lower(): forwarder.refusals[reason]
+            for reason in FlowRefusal
         }
         return {
             'packets': forwarder.counts,
--- a/src/currantshore/internal/entry/settings.py
+++ b/src/currantshore/internal/entry/settings.py
@@ -26,15 +26,15 @@
     """Checked settings of one entry process.
 
     ``internal_ports`` is the first and the last port that hosts may use among
-    themselves, the same on every host. ``seed_addresses`` are control
-    addresses of other hosts, which may be stale.
+    themselves, the same on every host. Of ``seed_addresses`` only the IP
+    numbers count; they are other hosts to begin with, and may be stale.
     """
 
     host_id: str
     zone: str
     packet_address: Endpoint
     ready_address: Endpoint
-    control_address: Endpoint | None
+    metrics_address: Endpoint | None
     seed_addresses: tuple[Endpoint, ...]
     internal_ports: tuple[int, int]
     store_address: Endpoint
@@ -107,7 +107,7 @@
     'zone': _Spec(_parse_name, 'a name without blanks'),
     'packet_address': _Spec(parse_address, _ADDRESS),
     'ready_address': _Spec(parse_address, _ADDRESS),
-    'control_address': _Spec(
+    'metrics_address': _Spec(
         _parse_optional_address, f'{_ADDRESS}, or empty', ''
     ),
     'seed_addresses': _Spec(
--- a/src/currantshore/internal/steering/core.py
+++ b/src/currantshore/internal/steering/core.py
@@ -2,11 +2,11 @@
 
 import collections
 import dataclasses
-import enum
 import random
 from collections.abc import Iterable, Sequence
 from typing import Final, NamedTuple, Self, TypeAlias
 
+from currantshore.codes import FlowRefusal
 from currantshore.internal.steering.catalog import (
     BackendEntry,
     BackendRemoved,
@@ -44,6 +44,9 @@
 # wait in the socket: nobody is judged by them.
 _HELD_UP_S: Final = 0.025
 
+# Servers that have gone are looked for this often.
+_CLEAN_INTERVAL_S: Final = 5.0
+
 TICK_INTERVAL_S: Final = 0.015
 
 # A token that is in no entry of a current listing for this long is of a
@@ -54,34 +57,7 @@
 _MAX_UNKNOWN_TOKENS: Final = 256
 
 
-@enum.unique
-class Refusal(enum.StrEnum):
-    """Why a packet is not forwarded."""
-
-    NO_ROUTE = 'no_route'
-    NO_BACKEND_SERVER = 'no_backend_server'
-    BACKEND_SERVER_GONE = 'backend_server_gone'
-    ROUTE_REMOVED = 'route_removed'
-    NOT_CURRENT = 'not_current'
-    TOKEN_UNKNOWN = 'token_unknown'
-    SERVICE_MISMATCH = 'service_mismatch'
-
-    @property
-    def is_told(self) -> bool:
-        """Tell whether the caller gets a reset rather than silence."""
-        return self in _TOLD
-
-
-_TOLD: Final = frozenset(
-    (
-        Refusal.NO_ROUTE,
-        Refusal.NO_BACKEND_SERVER,
-        Refusal.BACKEND_SERVER_GONE,
-        Refusal.ROUTE_REMOVED,
-    )
-)
-
-Decision: TypeAlias = Backend | Refusal
+Decision: TypeAlias = Backend | FlowRefusal
 
 
 class OpeningCopy(NamedTuple):
@@ -116,6 +92,7 @@
 
     __slots__ = (
         '_chooser',
+        '_cleaned_s',
         '_copies_left',
         '_due',
         '_former',
@@ -138,6 +115,7 @@
         self._due: collections.deque[tuple[float, bytes]] = collections.deque()
         self._former: dict[bytes, frozenset[str]] = {}
         self._held_until_s = 0.0
+        self._cleaned_s = 0.0
         self._ticked_s = 0.0
         self._unknown: dict[int, float] = {}
         self._watches: dict[str, SilenceWatch] = {}
@@ -192,8 +170,8 @@
         route = self.table.routes.get(address_key)
         if route is None:
             if self.is_current:
-                return Refusal.NO_ROUTE
-            return Refusal.NOT_CURRENT
+                return FlowRefusal.NO_ROUTE
+            return FlowRefusal.NOT_CURRENT
         record = self.records.find(flow_key)
         if record is None or record.is_open:
             return self._place(flow_key, route, datagram, now_s)
@@ -210,13 +188,13 @@
         record = self.records.find(flow_key)
         if record is None or record.backend.token != segment.token:
             found = self._resolve(address_key, segment.token, now_s)
-            if isinstance(found, Refusal):
+            if isinstance(found, FlowRefusal):
                 return found
             record = self._follow(flow_key, record, found, segment, now_s)
         if address_key not in self.table.routes:
             if address_key in self._former:
                 self.records.drop(flow_key)
-                return Refusal.ROUTE_REMOVED
+                return FlowRefusal.ROUTE_REMOVED
         backend = record.backend
         self.records.note_segment(flow_key, record, segment, now_s)
         if segment.is_end:
@@ -224,7 +202,7 @@
             return backend
         if self.health(backend) is Health.DEAD:
             self.records.drop(flow_key)
-            return Refusal.BACKEND_SERVER_GONE
+            return FlowRefusal.BACKEND_SERVER_GONE
         return backend
 
     def control_of(self, backend: Backend) -> Backend | None:
@@ -279,6 +257,9 @@
             actions.checks = self._judge(now_s)
             actions.copies = self._copy_late(now_s)
         self.records.sweep(self.table.idle_timeout_s, now_s)
+        if now_s - self._cleaned_s > _CLEAN_INTERVAL_S:
+            self._cleaned_s = now_s
+            self._forget_gone(now_s)
         return actions
 
     def health(self, backend: Backend) -> Health:
@@ -296,7 +277,7 @@
         self._copies_left = min(self._copies_left + _COPY_RATIO, _COPY_BURST)
         backend = self._choose(route, (), now_s)
         if backend is None:
-            return Refusal.NO_BACKEND_SERVER
+            return FlowRefusal.NO_BACKEND_SERVER
         record = self.records.begin(flow_key, backend, now_s)
         record.address_key = route.address_key
         record.datagram = datagram
@@ -314,7 +295,7 @@
         if backend is None:
             backend = self._choose(route, (), now_s)
         if backend is None:
-            return Refusal.NO_BACKEND_SERVER
+            return FlowRefusal.NO_BACKEND_SERVER
         self.records.try_again(flow_key, record, backend, now_s)
         return backend
 
@@ -349,19 +330,19 @@
         if backend is None:
             return self._refuse_unknown(token, now_s)
         if not self._may_serve(address_key, backend.entry.service_id):
-            return Refusal.SERVICE_MISMATCH
+            return FlowRefusal.SERVICE_MISMATCH
         return backend
 
-    def _refuse_unknown(self, token: int, now_s: float) -> Refusal:
+    def _refuse_unknown(self, token: int, now_s: float) -> FlowRefusal:
         if not self.is_current:
             self._unknown.clear()
-            return Refusal.TOKEN_UNKNOWN
+            return FlowRefusal.TOKEN_UNKNOWN
         if len(self._unknown) >= _MAX_UNKNOWN_TOKENS:
             self._unknown.clear()
         first_s = self._unknown.setdefault(token, now_s)
         if now_s - first_s < _UNKNOWN_TOKEN_S:
-            return Refusal.TOKEN_UNKNOWN
-        return Refusal.BACKEND_SERVER_GONE
+            return FlowRefusal.TOKEN_UNKNOWN
+        return FlowRefusal.BACKEND_SERVER_GONE
 
     def _may_serve(self, address_key: bytes, service_id: str) -> bool:
         route = self.table.routes.get(address_key)
@@ -403,6 +384,15 @@
                 checks.append(backend)
         return checks
 
+    def _forget_gone(self, now_s: float) -> None:
+        self.directory.forget_old(now_s)
+        known = {
+            backend.entry.backend_id
+            for backend in self.directory.all_backends()
+        }
+        for backend_id in self._watches.keys() - known:
+            self._watches.pop(backend_id)
+
     def _copy_late(self, now_s: float) -> list[OpeningCopy]:
         copies: list[OpeningCopy] = []
         due = self._due
--- a/tests/cover/test_codes.py
+++ b/tests/cover/test_codes.py
@@ -5,7 +5,13 @@
 
 import testtools
 
-from currantshore.codes import DropReason, ResultCode, RetryReason, is_not_run
+from currantshore.codes import (
+    DropReason,
+    FlowRefusal,
+    ResultCode,
+    RetryReason,
+    is_not_run,
+)
 from currantshore.internal.counters import Count
 
 _TABLE = pathlib.Path(__file__).parents[2] / 'docs' / 'result-codes.md'
@@ -21,9 +27,8 @@
     def test_every_code_has_a_row_with_its_number_and_no_other(self):
         rows = re.findall(r'^\| (\d+) \| (\w+) \|', self.page, re.MULTILINE)
         listed = {(int(number), name) for number, name in rows}
-        self.assertEqual(
-            {(code.value, code.name) for code in ResultCode}, listed
-        )
+        codes = [*ResultCode, *FlowRefusal]
+        self.assertEqual({(code.value, code.name) for code in codes}, listed)
 
     def test_every_reason_has_a_row_and_no_other(self):
         rows = re.findall(r'^\| `(\w+)` \|', self.page, re.MULTILINE)
@@ -32,6 +37,11 @@
             sorted(str(reason) for reason in reasons), sorted(rows)
         )
 
+    def test_a_caller_is_told_only_what_this_host_is_sure_of(self):
+        told = {code for code in FlowRefusal if code.is_told}
+        self.assertEqual({code for code in FlowRefusal if code < 350}, told)
+        self.assertNotIn(FlowRefusal.TOKEN_UNKNOWN, told)
+
     def test_only_codes_of_the_first_hundred_promise_not_run(self):
         promised = {code for code in ResultCode if is_not_run(code)}
         self.assertEqual(
--- a/tests/cover/test_steering_core.py
+++ b/tests/cover/test_steering_core.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from currantshore.internal.steering.core import Refusal
+from currantshore.codes import FlowRefusal
 from currantshore.internal.steering.directory import Backend
 from tests.cover.steering_kit import (
     ADDRESS,
@@ -43,7 +43,7 @@
     def test_an_address_without_a_route_is_refused_at_once(self):
         core = make_core([make_entry(1)])
         decision = core.on_opening(b'flow', OTHER_ADDRESS, b'syn', 100.0)
-        self.assertIs(Refusal.NO_ROUTE, decision)
+        self.assertIs(FlowRefusal.NO_ROUTE, decision)
         self.assertTrue(decision.is_told)
 
     def test_a_host_that_may_be_behind_does_not_refuse_a_route(self):
@@ -55,7 +55,7 @@
     def test_without_a_server_the_caller_is_told_at_once(self):
         core = make_core([])
         decision = core.on_opening(b'flow', ADDRESS, b'syn', 100.0)
-        self.assertIs(Refusal.NO_BACKEND_SERVER, decision)
+        self.assertIs(FlowRefusal.NO_BACKEND_SERVER, decision)
 
     def test_a_copy_of_an_opening_goes_to_another_server(self):
         core = make_core([make_entry(1), make_entry(2)])
@@ -97,13 +97,13 @@
         foreign = make_entry(9, service=OTHER_SERVICE)
         core = make_core([make_entry(1), foreign])
         found = core.on_segment(b'flow', ADDRESS, make_segment(9), 100.0)
-        self.assertIs(Refusal.SERVICE_MISMATCH, found)
+        self.assertIs(FlowRefusal.SERVICE_MISMATCH, found)
 
     def test_a_flow_of_a_removed_route_is_told_to_end(self):
         core = make_core([make_entry(1)])
         core.configure(make_table(2, []))
         found = core.on_segment(b'flow', ADDRESS, make_segment(1), 100.0)
-        self.assertIs(Refusal.ROUTE_REMOVED, found)
+        self.assertIs(FlowRefusal.ROUTE_REMOVED, found)
 
     def test_a_route_newer_than_this_host_is_forwarded_by_its_token(self):
         core = make_core([make_entry(1)])
@@ -126,6 +126,30 @@
             self.assertFalse(found.is_told)
 
 
+class ForgettingTests(testtools.TestCase):
+    """Guards against a host that grows with every server that ever was."""
+
+    def test_a_server_that_has_gone_is_forgotten_after_a_flows_life(self):
+        core = make_core([make_entry(1), make_entry(2)])
+        core.on_segment(b'flow', ADDRESS, make_segment(1, size=9), 100.0)
+        core.list_backends([make_entry(2)], 3, 100.0)
+        for now_s in (150.0, 161.0, 170.0):
+            core.tick(now_s)
+        known = [
+            backend.entry.instance for backend in core.directory.all_backends()
+        ]
+        self.assertEqual([2], known)
+
+    def test_flows_without_packets_are_forgotten_after_the_idle_timeout(self):
+        core = make_core([make_entry(1)])
+        core.on_segment(b'flow', ADDRESS, make_segment(1, size=9), 100.0)
+        for now_s in (101.0, 116.0, 116.1):
+            core.tick(now_s)
+        self.assertEqual(0, len(core.records))
+        backend = core.directory.get('i-00000001')
+        self.assertEqual((0, {}), (backend.flow_count, backend.asked))
+
+
 class SilentServerTests(testtools.TestCase):
     """Guards against callers that wait for a server that has crashed."""
 
