Let a host that has just started refuse nobody

By reading: a host took itself for current until its first tick, and told callers of its empty tables that there was no route. A verdict of before a stall was used for the first packets after it, too. Ruled out: two soaks on the same ports; a server that resets what it does not hold (none saw a stranger); the limits of connection attempts (the server accepted them all the while). Change: a host is not current before the store or a host vouches for it, and what is missing until then ends in silence; verdicts older than 0.5 s do not count, and a stall of 0.5 s ends them. Before: both tests failed.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,6 +10,7 @@
 import random
 import sys
 from collections import Counter
+from pathlib import Path
 from typing import Final
 
 import msgspec
@@ -20,6 +21,9 @@
 
 _FLOWS: Final = 24
 
+# Where the logs of failed runs are kept; not part of the repository.
+_LOGS: Final = Path('build') / 'soak'
+
 # A caller that was refused comes back after this long.
 _REFUSED_PAUSE_S: Final = 0.2
 
@@ -86,8 +90,16 @@
         return self._world.entries[self._place].packet_address
 
 
-async def run_soak(seed: int, seconds: float, hosts: int) -> dict[str, object]:
-    """Run one soak; return its figures and what was broken."""
+async def run_soak(
+    seed: int,
+    seconds: float,
+    hosts: int,
+    logs: Path = _LOGS,
+) -> dict[str, object]:
+    """Run one soak; return its figures and what was broken.
+
+    The logs of a run that broke a promise are kept below ``logs``.
+    """
     world = SoakWorld(hosts, seed)
     async with contextlib.AsyncExitStack() as stack:
         stack.push_async_callback(world.stop)
@@ -95,6 +107,8 @@
         counts, faults = await _strike_and_use(world, seed, seconds)
         await _check_healed(world)
         world.promises.judge_backends(world.backends, world.ports)
+    if world.promises.broken:
+        world.write_logs(logs / f'seed-{seed}')
     return {
         'seed': seed,
         'seconds': seconds,
--- a/soak/world.py
+++ b/soak/world.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import signal
+import time
+from pathlib import Path
 from typing import Final
 
 from currantshore.internal.steering.directory import backend_token
@@ -57,6 +59,7 @@
         self._version = 1
         self._has_added_route = False
         self._busy: set[int] = set()
+        self._done: list[str] = []
         self._drained: set[int] = set()
         self._loop = asyncio.get_running_loop()
 
@@ -91,12 +94,20 @@
         """End all that was started, processes by their ids."""
         await self._stack.aclose()
 
+    def write_logs(self, directory: Path) -> None:
+        """Write what each process has logged, and what was done to it."""
+        directory.mkdir(parents=True, exist_ok=True)
+        for entry in self.entries:
+            (directory / f'{entry.host}.log').write_bytes(entry.output)
+        (directory / 'faults.log').write_text('\n'.join(self._done))
+
     def is_up(self, place: int) -> bool:
         """Tell whether routers would send packets to a host."""
         return place not in self._busy
 
     async def apply(self, fault: Fault) -> None:
         """Apply a fault and undo it when its time is over."""
+        self._done.append(f'{self._loop.time():.3f} {time.time():.3f} {fault}')
         match fault:
             case HostFault(kind=kind, hosts=hosts, for_s=for_s):
                 await asyncio.gather(
--- a/src/currantshore/internal/steering/core.py
+++ b/src/currantshore/internal/steering/core.py
@@ -44,6 +44,10 @@
 # wait in the socket: nobody is judged by them.
 _HELD_UP_S: Final = 0.025
 
+# After standing still for this long, a host doubts what it thought of servers;
+# a quota of the processor stops it for a tenth of a second at most.
+_STALL_S: Final = 0.5
+
 # Servers that have gone are looked for this often.
 _CLEAN_INTERVAL_S: Final = 5.0
 
@@ -122,8 +126,9 @@
         self.directory = BackendDirectory(zone)
         self.records = FlowRecords()
         self.table = RoutingTable(0, {}, 0)
-        # False while neither the store nor a peer vouches for what is held.
-        self.is_current = True
+        # False while neither the store nor a peer vouches for what is held,
+        # as at a start: what is missing then is no reason to refuse.
+        self.is_current = False
 
     @classmethod
     def from_config(cls, zone: str, seed: int) -> Self:
@@ -200,7 +205,9 @@
         if segment.is_end:
             self.records.drop(flow_key)
             return backend
-        if self.health(backend) is Health.DEAD:
+        # A verdict is as old as the last tick: this host may have stood still.
+        is_judged = now_s - self._ticked_s < _STALL_S
+        if is_judged and self.health(backend) is Health.DEAD:
             self.records.drop(flow_key)
             return FlowRefusal.BACKEND_SERVER_GONE
         return backend
@@ -251,6 +258,9 @@
         """Look at what is due; call it every ``TICK_INTERVAL_S``."""
         if now_s - self._ticked_s > TICK_INTERVAL_S + _HELD_UP_S:
             self._held_until_s = now_s + _LATE_OPENING_S
+        if now_s - self._ticked_s > _STALL_S:
+            for watch in self._watches.values():
+                watch.clear()
         self._ticked_s = now_s
         actions = TickActions([], [], [])
         if now_s >= self._held_until_s:
@@ -277,7 +287,7 @@
         self._copies_left = min(self._copies_left + _COPY_RATIO, _COPY_BURST)
         backend = self._choose(route, (), now_s)
         if backend is None:
-            return FlowRefusal.NO_BACKEND_SERVER
+            return self._refuse_service()
         record = self.records.begin(flow_key, backend, now_s)
         record.address_key = route.address_key
         record.datagram = datagram
@@ -295,10 +305,15 @@
         if backend is None:
             backend = self._choose(route, (), now_s)
         if backend is None:
-            return FlowRefusal.NO_BACKEND_SERVER
+            return self._refuse_service()
         self.records.try_again(flow_key, record, backend, now_s)
         return backend
 
+    def _refuse_service(self) -> FlowRefusal:
+        if self.is_current:
+            return FlowRefusal.NO_BACKEND_SERVER
+        return FlowRefusal.NOT_CURRENT
+
     def _choose(
         self,
         route: Route,
--- a/tests/cover/test_steering_core.py
+++ b/tests/cover/test_steering_core.py
@@ -3,6 +3,7 @@
 import testtools
 
 from currantshore.codes import FlowRefusal
+from currantshore.internal.steering.core import SteeringCore
 from currantshore.internal.steering.directory import Backend
 from tests.cover.steering_kit import (
     ADDRESS,
@@ -52,6 +53,17 @@
         decision = core.on_opening(b'flow', OTHER_ADDRESS, b'syn', 100.0)
         self.assertFalse(decision.is_told)
 
+    def test_a_started_host_that_holds_nothing_refuses_nobody(self):
+        # The soak's seed 203 and the users' final faults: hosts that have just
+        # started get packets before their first list.
+        empty = SteeringCore.from_config('harbor', seed=1)
+        first = empty.on_opening(b'flow', ADDRESS, b'syn', 100.0)
+        empty.configure(make_table())
+        second = empty.on_opening(b'flow', ADDRESS, b'syn', 100.1)
+        third = empty.on_segment(b'flow', ADDRESS, make_segment(1), 105.0)
+        for decision in (first, second, third):
+            self.assertFalse(decision.is_told, decision)
+
     def test_without_a_server_the_caller_is_told_at_once(self):
         core = make_core([])
         decision = core.on_opening(b'flow', ADDRESS, b'syn', 100.0)
@@ -240,6 +252,24 @@
         found = self.core.on_segment(b'flow', ADDRESS, segment, 103.0)
         self.assertEqual(1, number_of(found))
 
+    def test_a_verdict_of_before_a_stall_ends_no_flow(self):
+        self.core.tick(100.0)
+        segment = make_segment(1, sequence=5, acknowledged=9, size=100)
+        self.core.on_segment(b'flow', ADDRESS, segment, 100.0)
+        self.tick_until(100.015, 100.3)
+        backend = self.core.directory.get('i-00000001')
+        for now_s in (100.3, 100.4):
+            self.fail_check(backend, now_s)
+            self.tick_until(now_s, now_s + 0.1)
+        gone = self.core.on_segment(b'flow', ADDRESS, segment, 100.5)
+        self.assertIs(FlowRefusal.BACKEND_SERVER_GONE, gone)
+        # The process is stopped for 4 s; the server is back meanwhile.
+        found = self.core.on_segment(b'flow', ADDRESS, segment, 104.5)
+        self.assertIs(backend, found)
+        self.core.tick(104.51)
+        found = self.core.on_segment(b'flow', ADDRESS, segment, 104.52)
+        self.assertIs(backend, found)
+
     def test_an_answer_to_any_flow_ends_the_suspicion(self):
         self.core.tick(100.0)
         late = make_segment(1, sequence=5, acknowledged=9, size=100)
