--- a/bench/entry.py
+++ b/bench/entry.py
@@ -41,6 +41,22 @@
 _LOOPBACK: Final = '127.0.0.1'
 
 
+def build_entry(number: int, service_id: str, port: int) -> BackendEntry:
+    """Return the entry of a server in one of four zones."""
+    return BackendEntry(
+        f'i-{number:08x}',
+        number,
+        service_id,
+        Endpoint(_LOOPBACK, port),
+        f'zone-{number % 4}',
+        3,
+        False,
+        0,
+        1,
+        number,
+    )
+
+
 def build_core(sink_port: int) -> SteeringCore:
     """Return a core with the servers of one pool at the target size."""
     core = SteeringCore.from_config('zone-0', _SEED)
@@ -56,18 +72,7 @@
     )
     core.configure(RoutingTable(1, {key: route}, 15))
     entries = [
-        BackendEntry(
-            f'i-{number:08x}',
-            number,
-            'service',
-            Endpoint(_LOOPBACK, sink_port),
-            f'zone-{number % 4}',
-            3,
-            False,
-            0,
-            1,
-            number,
-        )
+        build_entry(number, 'service', sink_port)
         for number in range(1, _BACKENDS + 1)
     ]
     core.list_backends(entries, _BACKENDS, 0)
