Count closed flows as no load; let late copies and lapsed servers be

A flow that its caller had closed counted as open until 15 s without packets, a share of work that is not there. A copy of an opening that its own flow had overtaken opened a second flow elsewhere. A server that was cut off until its entry lapsed, and came back while the store was down, would have had its flows reset until its entry returned. Ruled out: trying such servers each second: most have gone for good, and each attempt is paid for. Change: a closing packet ends the flow's load; the copy goes to the flow's server; the verdict on a lapsed server lasts 1 s beyond its last attempt, after which flows have to show the silence again. TickActions.resets, never filled, is gone.

--- a/src/currantshore/internal/steering/core.py
+++ b/src/currantshore/internal/steering/core.py
@@ -82,9 +82,8 @@
 class TickActions:
     """What a tick asks of the adapters."""
 
-    copies: list[OpeningCopy]
-    resets: list[FlowReset]
-    checks: list[Backend]
+    copies: list[OpeningCopy] = dataclasses.field(default_factory=list)
+    checks: list[Backend] = dataclasses.field(default_factory=list)
 
 
 class SteeringCore:
@@ -178,9 +177,14 @@
                 return FlowRefusal.NO_ROUTE
             return FlowRefusal.NOT_CURRENT
         record = self.records.find(flow_key)
-        if record is None or record.is_open:
+        if record is None:
             return self._place(flow_key, route, datagram, now_s)
-        return self._place_copy(flow_key, record, route, now_s)
+        if not record.is_open:
+            return self._place_copy(flow_key, record, route, now_s)
+        if now_s - record.seen_s < _OPENING_LIFE_S:
+            # A copy that was overtaken by the flow's own packets.
+            return record.backend
+        return self._place(flow_key, route, datagram, now_s)
 
     def on_segment(
         self,
@@ -262,7 +266,7 @@
             for watch in self._watches.values():
                 watch.clear()
         self._ticked_s = now_s
-        actions = TickActions([], [], [])
+        actions = TickActions()
         if now_s >= self._held_until_s:
             actions.checks = self._judge(now_s)
             actions.copies = self._copy_late(now_s)
--- a/src/currantshore/internal/steering/flowrecords.py
+++ b/src/currantshore/internal/steering/flowrecords.py
@@ -30,13 +30,16 @@
 class Segment(NamedTuple):
     """A packet of a caller after the opening one.
 
-    ``sequence`` and ``acknowledged`` count bytes and wrap at 32 bits.
+    ``sequence`` and ``acknowledged`` count bytes and wrap at 32 bits. A caller
+    that is closing sends no further request; at the end it holds the flow no
+    longer.
     """
 
     token: int
     sequence: int
     acknowledged: int
     size_bytes: int
+    is_closing: bool
     is_end: bool
 
 
@@ -49,6 +52,7 @@
         'asked_packets',
         'backend',
         'datagram',
+        'is_closing',
         'is_open',
         'seen_s',
         'sequence',
@@ -63,6 +67,7 @@
         self.datagram = b''
         self.seen_s = now_s
         self.is_open = False
+        self.is_closing = False
         self.acknowledged = 0
         self.sequence = 0
         self.asked_packets = 0
@@ -150,8 +155,13 @@
             if asked_s is not None:
                 _note_latency(backend, now_s - asked_s)
                 self.latencies['first_answer'].add(now_s - asked_s)
-        if segment.size_bytes:
+        if segment.size_bytes and not record.is_closing:
             self._note_request(flow_key, record, segment, now_s)
+        if segment.is_closing and not record.is_closing:
+            # The record stays for the packets that end the flow.
+            record.is_closing = True
+            backend.flow_count -= 1
+            backend.asked.pop(flow_key, None)
 
     def drop(self, flow_key: bytes) -> None:
         """Forget a flow that has ended."""
@@ -161,7 +171,7 @@
         for backend in record.tried:
             backend.openings.pop(flow_key, None)
         record.backend.asked.pop(flow_key, None)
-        if record.is_open:
+        if record.is_open and not record.is_closing:
             record.backend.flow_count -= 1
 
     def sweep(self, idle_timeout_s: float, now_s: float) -> None:
--- a/src/currantshore/internal/steering/silence.py
+++ b/src/currantshore/internal/steering/silence.py
@@ -45,6 +45,11 @@
 _RECHECK_PAUSE_S: Final = 1.0
 
 
+# How long a verdict on a server whose entry has lapsed is used without another
+# attempt: a reset costs the caller a new flow, a wait its deadline.
+_VERDICT_LIFE_S: Final = 1.0
+
+
 @enum.unique
 class Health(enum.Enum):
     """What flows have shown of a server."""
@@ -86,6 +91,7 @@
         """
         if self.health is Health.DEAD:
             is_silent = backend.last_answer_s <= self._since_s
+            is_silent = is_silent and not self._is_stale(backend, now_s)
         else:
             is_silent = _is_silent(backend, now_s, late_opening_s)
         if not is_silent:
@@ -126,12 +132,19 @@
     def _starts_check(self, backend: Backend, now_s: float) -> bool:
         if self._is_checking or now_s < self._check_after_s:
             return False
-        is_over = self.health is Health.DEAD
-        if is_over and backend.standing is Standing.LAPSED:
+        if self.health is Health.DEAD and backend.standing is Standing.LAPSED:
             return False
         self._is_checking = True
         return True
 
+    def _is_stale(self, backend: Backend, now_s: float) -> bool:
+        # A server that has lapsed is not tried again and again, since most
+        # have gone for good. One that was only cut off shows it to the next
+        # flow that is not reset.
+        if backend.standing is not Standing.LAPSED:
+            return False
+        return now_s - self._check_after_s > _VERDICT_LIFE_S
+
 
 def _is_silent(backend: Backend, now_s: float, late_opening_s: float) -> bool:
     answered_s = backend.last_answer_s
--- a/src/currantshore/platform/packets.py
+++ b/src/currantshore/platform/packets.py
@@ -82,8 +82,15 @@
     """Decode a packet after the opening one."""
     size_bytes, sequence, acknowledged = _SEGMENT.unpack_from(datagram)
     token = int.from_bytes(datagram[_TOKEN_START:_FLAGS_OFFSET], 'little')
-    is_end = datagram[_FLAGS_OFFSET] & _RST != 0
-    return Segment(token, sequence, acknowledged, size_bytes, is_end)
+    flags = datagram[_FLAGS_OFFSET]
+    return Segment(
+        token,
+        sequence,
+        acknowledged,
+        size_bytes,
+        flags & _FIN != 0,
+        flags & _RST != 0,
+    )
 
 
 def for_backend(datagram: bytes, instance: int) -> bytes:
--- a/tests/contract/test_platform_packets.py
+++ b/tests/contract/test_platform_packets.py
@@ -72,7 +72,9 @@
             self.assertEqual(
                 is_from_backend, packets.is_from_backend(datagram), name
             )
-            self.assertEqual(is_end, packets.read_segment(datagram).is_end)
+            segment = packets.read_segment(datagram)
+            self.assertEqual(is_end, segment.is_end, name)
+            self.assertEqual(flags & 8 != 0, segment.is_closing, name)
 
     @given(st.binary(max_size=80))
     def test_only_datagrams_of_the_stated_size_are_whole(self, datagram):
--- a/tests/cover/steering_kit.py
+++ b/tests/cover/steering_kit.py
@@ -56,9 +56,10 @@
     return core
 
 
-def make_segment(number, sequence=1, acknowledged=1, size=0, is_end=False):
+def make_segment(number, sequence=1, acknowledged=1, size=0, **flags):
     token = backend_token(f'i-{number:08x}')
-    return Segment(token, sequence, acknowledged, size, is_end)
+    given = {'is_closing': False, 'is_end': False, **flags}
+    return Segment(token, sequence, acknowledged, size, **given)
 
 
 def number_of(decision):
--- a/tests/cover/test_steering_core.py
+++ b/tests/cover/test_steering_core.py
@@ -69,6 +69,29 @@
         decision = core.on_opening(b'flow', ADDRESS, b'syn', 100.0)
         self.assertIs(FlowRefusal.NO_BACKEND_SERVER, decision)
 
+    def test_a_copy_overtaken_by_the_flow_goes_to_the_flows_server(self):
+        # A second server's answer would draw the flow's packets to it.
+        core = make_core([make_entry(1), make_entry(2)])
+        first = core.on_opening(b'flow', ADDRESS, b'syn', 100.0)
+        opened = make_segment(number_of(first))
+        core.on_segment(b'flow', ADDRESS, opened, 100.01)
+        late = core.on_opening(b'flow', ADDRESS, b'syn', 100.02)
+        self.assertIs(first, late)
+        self.assertIs(first, core.on_segment(b'flow', ADDRESS, opened, 100.03))
+
+    def test_a_closed_flow_is_no_load(self):
+        core = make_core([make_entry(1)])
+        backend = core.on_opening(b'flow', ADDRESS, b'syn', 100.0)
+        core.on_segment(b'flow', ADDRESS, make_segment(1, size=9), 100.01)
+        self.assertEqual((1, 1), (backend.flow_count, len(backend.asked)))
+        closing = make_segment(1, sequence=10, is_closing=True)
+        core.on_segment(b'flow', ADDRESS, closing, 100.02)
+        core.on_segment(b'flow', ADDRESS, make_segment(1, 11), 100.03)
+        self.assertEqual((0, 0), (backend.flow_count, len(backend.asked)))
+        for now_s in (101.0, 116.0, 116.1):
+            core.tick(now_s)
+        self.assertEqual((0, 0), (backend.flow_count, len(core.records)))
+
     def test_a_copy_of_an_opening_goes_to_another_server(self):
         core = make_core([make_entry(1), make_entry(2)])
         first = core.on_opening(b'flow', ADDRESS, b'syn', 100.0)
@@ -270,6 +293,23 @@
         found = self.core.on_segment(b'flow', ADDRESS, segment, 104.52)
         self.assertIs(backend, found)
 
+    def test_a_lapsed_server_that_is_back_gets_its_flows_again(self):
+        # Cut off until its entry lapsed, and back while the store is down.
+        self.core.tick(100.0)
+        segment = make_segment(1, sequence=5, acknowledged=9, size=100)
+        self.core.on_segment(b'flow', ADDRESS, segment, 100.0)
+        self.core.list_backends([make_entry(2)], 3, 100.0)
+        self.tick_until(100.015, 100.3)
+        backend = self.core.directory.get('i-00000001')
+        for now_s in (100.3, 100.4):
+            self.fail_check(backend, now_s)
+            self.tick_until(now_s, now_s + 0.1)
+        gone = self.core.on_segment(b'flow', ADDRESS, segment, 100.5)
+        self.assertIs(FlowRefusal.BACKEND_SERVER_GONE, gone)
+        self.tick_until(100.5, 103.0)
+        found = self.core.on_segment(b'flow', ADDRESS, segment, 103.0)
+        self.assertIs(backend, found)
+
     def test_an_answer_to_any_flow_ends_the_suspicion(self):
         self.core.tick(100.0)
         late = make_segment(1, sequence=5, acknowledged=9, size=100)
