Do not take a watch given up as silent for a store that serves

Change: a call that is given up counts as a failure, with its pause. Before: test_a_watch_that_misses_what_others_know_is_no_service failed.

--- a/src/currantshore/internal/entry/following.py
+++ b/src/currantshore/internal/entry/following.py
@@ -163,7 +163,10 @@
         return now_s - self._behind_s > _BEHIND_S
 
     async def run_call(self) -> BaseException | None:
-        """Make one call; return what ended it, None for a success."""
+        """Make one call; return what ended it, None for a success.
+
+        A call that ``check`` has given up ends with ``CancelledError``.
+        """
         self._behind_s = 0
         call = asyncio.get_running_loop().create_task(self.subject.step())
         self.call = call
@@ -175,7 +178,7 @@
             raise
         self.call = None
         if call.cancelled():
-            return None
+            return asyncio.CancelledError()
         return call.exception()
 
 
@@ -271,6 +274,11 @@
                 watch.failures += 1
                 self._tell_lost(watch, error)
                 await self._pause(watch.failures)
+            case asyncio.CancelledError():
+                # Given up as silent: the store does not serve this host until
+                # a later call succeeds.
+                watch.failures += 1
+                await self._pause(watch.failures)
             case BaseException() as error:
                 raise error
 
--- /dev/null
+++ b/tests/contract/test_following.py
@@ -0,0 +1,109 @@
+"""The follower of the store, against the stand-in of the store."""
+
+import asyncio
+import random
+import types
+
+import testtools
+
+from currantshore.internal.entry.decisionlog import DecisionLog
+from currantshore.internal.entry.following import StoreFollower
+from currantshore.wire import Endpoint
+from standins.objectstore import Faults, ObjectStore, StoreServer
+
+# Longer than a silent watch is waited for once others know more (0.4 s).
+_SILENT_S = 0.8
+_STEP_S = 0.05
+
+
+class FakeHoldings:
+    """Takes what the follower delivers, and says what other hosts know."""
+
+    def __init__(self):
+        self.mirror = types.SimpleNamespace(
+            newest_version=1,
+            passed_on_revision=0,
+            role=types.SimpleNamespace(is_reader=True),
+        )
+        self.versions = []
+
+    def take_configuration(self, table, body, origin, revision):
+        self.versions.append(table.version)
+
+    def take_listing(self, entries, faults, revision):
+        self.entries = entries
+
+    def take_changes(self, changes, faults):
+        self.changes = changes
+
+
+class SilentWatchTests(testtools.TestCase):
+    """Guards against a reader that vouches for a store it cannot hear."""
+
+    def play(self, scenario):
+        async def run():
+            store = ObjectStore()
+            spec = {
+                'version': 1,
+                'routes': [],
+                'limits': {'idle-timeout-ms': 15000},
+            }
+            await store.put('config', 'main', spec)
+            server = StoreServer(store)
+            await server.start()
+            self.holdings = FakeHoldings()
+            self.follower = StoreFollower(
+                self.holdings,
+                Endpoint('127.0.0.1', server.port),
+                DecisionLog(),
+                random.Random(1),
+            )
+            tasks = [
+                asyncio.ensure_future(self.follower.follow_backends()),
+                asyncio.ensure_future(self.follower.follow_configuration()),
+            ]
+            while not self.follower.is_served():
+                await asyncio.sleep(_STEP_S)
+            await scenario(store)
+            for task in tasks:
+                task.cancel()
+            await server.stop()
+
+        asyncio.run(run())
+
+    async def watch_for(self, seconds):
+        """Check as the process does; return whether it was ever unserved."""
+        was_unserved = False
+        end_s = asyncio.get_running_loop().time() + seconds
+        while asyncio.get_running_loop().time() < end_s:
+            self.follower.check()
+            await asyncio.sleep(_STEP_S)
+            was_unserved = was_unserved or not self.follower.is_served()
+        return was_unserved
+
+    def test_a_watch_that_misses_what_others_know_is_no_service(self):
+        async def scenario(store):
+            store.faults = Faults(is_silent=True)
+            self.holdings.mirror.passed_on_revision = 1000
+            self.assertTrue(await self.watch_for(_SILENT_S))
+            self.assertFalse(self.follower.is_served())
+
+        self.play(scenario)
+
+    def test_a_watch_that_is_up_to_date_is_left_alone(self):
+        async def scenario(store):
+            self.assertFalse(await self.watch_for(_SILENT_S))
+
+        self.play(scenario)
+
+    def test_a_host_that_stops_reading_ends_its_calls(self):
+        async def scenario(store):
+            await asyncio.sleep(0.3)
+            self.holdings.mirror.role.is_reader = False
+            await self.watch_for(0.3)
+            before = store.calls['GET']
+            await store.put('config', 'other', {})
+            await self.watch_for(0.3)
+            self.assertEqual(before, store.calls['GET'])
+
+        self.play(scenario)
