--- a/tests/cover/test_steering_core.py
+++ b/tests/cover/test_steering_core.py
@@ -211,6 +211,17 @@
             now_s=now_s,
         )
 
+    def give_up_first(self, segment):
+        """Have the first server, which got ``segment``, given up at 100.5."""
+        self.tick_until(100.015, 100.3)
+        backend = self.core.directory.get('i-00000001')
+        for now_s in (100.3, 100.4):
+            self.fail_check(backend, now_s)
+            self.tick_until(now_s, now_s + 0.1)
+        gone = self.core.on_segment(b'flow', ADDRESS, segment, 100.5)
+        self.assertIs(FlowRefusal.BACKEND_SERVER_GONE, gone)
+        return backend
+
     def tick_until(self, start_s, end_s):
         """Tick as the process does; return all that ticks asked for."""
         now_s = start_s
@@ -279,13 +290,7 @@
         self.core.tick(100.0)
         segment = make_segment(1, sequence=5, acknowledged=9, size=100)
         self.core.on_segment(b'flow', ADDRESS, segment, 100.0)
-        self.tick_until(100.015, 100.3)
-        backend = self.core.directory.get('i-00000001')
-        for now_s in (100.3, 100.4):
-            self.fail_check(backend, now_s)
-            self.tick_until(now_s, now_s + 0.1)
-        gone = self.core.on_segment(b'flow', ADDRESS, segment, 100.5)
-        self.assertIs(FlowRefusal.BACKEND_SERVER_GONE, gone)
+        backend = self.give_up_first(segment)
         # The process is stopped for 4 s; the server is back meanwhile.
         found = self.core.on_segment(b'flow', ADDRESS, segment, 104.5)
         self.assertIs(backend, found)
@@ -299,13 +304,7 @@
         segment = make_segment(1, sequence=5, acknowledged=9, size=100)
         self.core.on_segment(b'flow', ADDRESS, segment, 100.0)
         self.core.list_backends([make_entry(2)], 3, 100.0)
-        self.tick_until(100.015, 100.3)
-        backend = self.core.directory.get('i-00000001')
-        for now_s in (100.3, 100.4):
-            self.fail_check(backend, now_s)
-            self.tick_until(now_s, now_s + 0.1)
-        gone = self.core.on_segment(b'flow', ADDRESS, segment, 100.5)
-        self.assertIs(FlowRefusal.BACKEND_SERVER_GONE, gone)
+        backend = self.give_up_first(segment)
         self.tick_until(100.5, 103.0)
         found = self.core.on_segment(b'flow', ADDRESS, segment, 103.0)
         self.assertIs(backend, found)
