Have a soak that is ended end its processes; give each its own server address

Cause: soaks that were ended by SIGTERM left entry processes behind, 20 of them after several; a soak that ran beside another died when a server that had been silent could not listen at its port again. Ruled out: a fault of the product: the address in use was a stand-in's. Change: SIGTERM cancels the run, which ends its own processes by their ids; each seed has a loopback address of its own for its servers. Before: orphans after SIGTERM.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import random
+import signal
 import sys
 from collections import Counter
 from pathlib import Path
@@ -120,6 +121,18 @@
     }
 
 
+async def _run_until_told(
+    seed: int,
+    seconds: float,
+    hosts: int,
+) -> dict[str, object]:
+    # A soak that is told to end ends the processes that it started.
+    loop = asyncio.get_running_loop()
+    work = loop.create_task(run_soak(seed, seconds, hosts))
+    loop.add_signal_handler(signal.SIGTERM, work.cancel)
+    return await work
+
+
 async def _strike_and_use(
     world: SoakWorld,
     seed: int,
@@ -161,7 +174,8 @@
     given = parser.parse_args()
     status = 0
     for seed in range(given.seed, given.seed + given.seeds):
-        found = asyncio.run(run_soak(seed, given.seconds, given.hosts))
+        run = _run_until_told(seed, given.seconds, given.hosts)
+        found = asyncio.run(run)
         sys.stdout.write(f'{msgspec.json.encode(found).decode()}\n')
         sys.stdout.flush()
         status = 1 if found['broken'] else status
--- a/soak/world.py
+++ b/soak/world.py
@@ -52,6 +52,8 @@
         self.store = ObjectStore()
         self.caller = PacketCaller('127.0.1.1', seed)
         self._seed = seed
+        # Soaks that run side by side share no address of a server.
+        self._backend_host = f'127.0.{2 + seed % 250}.1'
         self._host_count = host_count
         self._proxies: list[StoreProxy] = []
         self._fronts: list[BackendProxy] = []
@@ -238,10 +240,10 @@
     async def _start_backends(self, caller_port: int) -> None:
         for number in range(_BACKENDS_PER_SERVICE * len(SERVICES)):
             backend = PacketBackend(f'i-{number + 1:08x}', number + 1)
-            await backend.start('127.0.2.1', caller_port)
+            await backend.start(self._backend_host, caller_port)
             self._stack.callback(backend.stop)
             front = BackendProxy(backend, self._seed + number)
-            await front.start('127.0.2.1')
+            await front.start(self._backend_host)
             self._stack.callback(front.stop)
             place = number % len(SERVICES)
             extra = {_ADDED_PORT} if place == 0 else set()
@@ -254,7 +256,7 @@
     async def _list(self, number: int, state: str) -> None:
         spec = {
             'service': SERVICES[number % len(SERVICES)],
-            'address': f'127.0.2.1:{self._fronts[number].port}',
+            'address': f'{self._backend_host}:{self._fronts[number].port}',
             'zone': f'zone-{number % _ZONES}',
             'slots': 3,
             'state': state,
