--- a/soak/proxies.py
+++ b/soak/proxies.py
@@ -137,6 +137,9 @@
     async def listen(self) -> None:
         """Take connections, as a server does that lives."""
         self._backend.is_silent = False
+        if self._listener is not None:
+            # The end of another silence that overlapped has come first.
+            return
         self._listener = await asyncio.start_server(
             _end_connection, self._host, self.port
         )
@@ -146,6 +149,7 @@
         self._backend.is_silent = True
         if self._listener is not None:
             self._listener.close()
+            self._listener = None
 
     def stop(self) -> None:
         """Close the sockets."""
