--- a/src/currantshore/platform/packets.py
+++ b/src/currantshore/platform/packets.py
@@ -6,8 +6,8 @@
 | bytes | wire name | holds |
 | --- | --- | --- |
 | 0-1 | len | size of the data |
-| 2-5 | seq | sequence number; copy number of nothing |
-| 6-9 | ack | acknowledgement number; of an opening, its copy number |
+| 2-5 | seq | sequence number |
+| 6-9 | ack | acknowledgement number; of an opening, the number of its copy |
 | 10-13 | sum | keyed sum that only the two ends can compute |
 | 14-15 | sport | port of the sender's end |
 | 16-19 | src | IP number of the sender's end |
