Forget routes at the admission gate; count a log's changes without packing them

Cause: reading the diff: the gate kept a rate for each route that ever was, and each older digest packed up to 64 messages only to count them. Change: forget_gone each five seconds; ChangeLog.is_one_message. Before: the new test has nothing to call. After: it passes.

--- a/src/currantshore/internal/mirror/changelog.py
+++ b/src/currantshore/internal/mirror/changelog.py
@@ -53,6 +53,14 @@
         while len(self._changes) > _MAX_CHANGES:
             self.start_revision = self._changes.popleft().revision
 
+    def is_one_message(self, revision: int) -> bool:
+        """Tell whether all changes after ``revision`` fit into a message."""
+        if revision < self.start_revision:
+            return False
+        if len(self._changes) <= CHANGES_PER_MESSAGE:
+            return True
+        return self._changes[-CHANGES_PER_MESSAGE - 1].revision <= revision
+
     def after(self, revision: int) -> list[Changes] | None:
         """Return all changes after ``revision``; None when too far back."""
         if revision < self.start_revision:
--- a/src/currantshore/internal/mirror/core.py
+++ b/src/currantshore/internal/mirror/core.py
@@ -155,7 +155,7 @@
         self._asked_s = 0.0
         self._far_version = 0
         self._far_version_s = 0.0
-        # Sorted by the revision that each follows, to take them in order.
+        # A heap by the revision that each message follows.
         self._early: list[tuple[int, int, Changes]] = []
         self._has_unspread = False
         self._spread_s = 0.0
@@ -326,11 +326,10 @@
             actions.sendings += self._ask(host, digest.backend_revision, now_s)
         is_behind = digest.configuration_version < self._steering.table.version
         if digest.backend_revision < self._log.revision:
-            missing = self._missing(host, digest.backend_revision)
             # More is told and not sent, so that the host asks one of those
             # that are ahead of it, and not each of them sends all.
-            if len(missing) == 1:
-                actions.sendings += missing
+            if self._log.is_one_message(digest.backend_revision):
+                actions.sendings += self._missing(host, digest.backend_revision)
             else:
                 is_behind = True
         if is_new or is_behind:
@@ -400,7 +399,7 @@
     def _keep_early(self, message: Changes) -> None:
         if len(self._early) >= _MAX_EARLY:
             self._early.clear()
-        # Revisions differ or the messages are alike; either is left out below.
+        # Equal keys would make the heap compare the messages.
         key = (message.after_revision, message.revision)
         if all(known[:2] != key for known in self._early):
             heapq.heappush(self._early, (*key, message))
--- a/src/currantshore/internal/steering/admission.py
+++ b/src/currantshore/internal/steering/admission.py
@@ -17,6 +17,7 @@
 import dataclasses
 import math
 import random
+from collections.abc import Container
 from typing import Final, TypeAlias
 
 from currantshore.internal.steering.catalog import Route
@@ -109,6 +110,19 @@
         reach = _ALL_REFUSED_RATIO - _FIRST_REFUSED_RATIO
         return self._rng.random() > (ratio - _FIRST_REFUSED_RATIO) / reach
 
+    def forget_gone(self, routes: Container[bytes], now_s: float) -> None:
+        """Forget routes that are not in ``routes``, and silent services."""
+        for address_key in tuple(self._rates):
+            if address_key not in routes:
+                self._rates.pop(address_key)
+        for service_id, answers in tuple(self._answers.items()):
+            if now_s - answers[-1][0] > _ANSWER_LIFE_S:
+                self._answers.pop(service_id)
+
+    def sizes(self) -> tuple[int, int]:
+        """Return how many routes and services are remembered."""
+        return len(self._rates), len(self._answers)
+
     def _is_usual(
         self,
         address_key: bytes,
--- a/src/currantshore/internal/steering/core.py
+++ b/src/currantshore/internal/steering/core.py
@@ -446,6 +446,7 @@
 
     def _forget_gone(self, now_s: float) -> None:
         self.directory.forget_old(now_s)
+        self._gate.forget_gone(self.table.routes, now_s)
         known = {
             backend.entry.backend_id
             for backend in self.directory.all_backends()
--- a/tests/cover/test_admission.py
+++ b/tests/cover/test_admission.py
@@ -94,6 +94,18 @@
         self.assertEqual(1, self.play(4, 4 * _USUAL_PER_S, _IDLE_RATIO))
 
 
+class ForgettingTests(GateKit):
+    """Guards against a host that grows with every route that ever was."""
+
+    def test_routes_and_services_that_have_gone_are_forgotten(self):
+        self.play(2, _USUAL_PER_S, _IDLE_RATIO)
+        self.play(2, _USUAL_PER_S, _IDLE_RATIO, make_route(OTHER_ADDRESS))
+        self.gate.forget_gone({ADDRESS}, self.now_s)
+        self.assertEqual((1, 1), self.gate.sizes())
+        self.gate.forget_gone({}, self.now_s + 2)
+        self.assertEqual((0, 0), self.gate.sizes())
+
+
 class FalseAlarmTests(GateKit):
     """Guards against refusals while servers have free slots."""
 
