--- a/standins/entries.py
+++ b/standins/entries.py
@@ -19,10 +19,19 @@
 
 def free_port(host: str) -> int:
     """Return a port that is free for TCP and UDP at this moment."""
-    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
-        probe.bind((host, 0))
-        port: int = probe.getsockname()[1]
-    return port
+    while True:
+        with (
+            socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other,
+        ):
+            probe.bind((host, 0))
+            port: int = probe.getsockname()[1]
+            try:
+                other.bind((host, port))
+            except OSError:
+                # A datagram socket has this port; the next one is drawn.
+                continue
+        return port
 
 
 class EntryProcess:
