--- a/src/currantshore/internal/steering/core.py
+++ b/src/currantshore/internal/steering/core.py
@@ -7,7 +7,7 @@
 from typing import Final, NamedTuple, Self, TypeAlias
 
 from currantshore.codes import FlowRefusal
-from currantshore.internal.steering.admission import AdmissionGate
+from currantshore.internal.steering.openinggate import OpeningGate
 from currantshore.internal.steering.catalog import (
     BackendEntry,
     BackendRemoved,
@@ -125,7 +125,7 @@
         self._copies_left = _COPY_BURST
         self._due: collections.deque[tuple[float, bytes]] = collections.deque()
         self._former: dict[bytes, frozenset[str]] = {}
-        self._gate = AdmissionGate(rng)
+        self._gate = OpeningGate(rng)
         self._held_until_s = 0.0
         self._cleaned_s = 0.0
         self._ticked_s = 0.0
--- a/src/currantshore/internal/steering/admission.py
+++ b/src/currantshore/internal/steering/openinggate.py
@@ -77,7 +77,7 @@
         self.sum_per_s += 1 / _USUAL_OVER_S
 
 
-class AdmissionGate:
+class OpeningGate:
     """Refuses openings for services whose answers have become late."""
 
     __slots__ = ('_answers', '_rates', '_rng')
--- a/tests/cover/test_admission.py
+++ b/tests/cover/test_admission.py
@@ -1,201 +1,184 @@
-"""Which openings a full service gets, replayed from floods and false alarms."""
-
-import dataclasses
-import itertools
-import random
+"""Classes, turns, bounded queues and refusals on arrival."""
 
 import testtools
 
-from currantshore.codes import FlowRefusal
-from currantshore.internal.steering.admission import AdmissionGate
-from currantshore.internal.steering.catalog import RequestKind
-from tests.cover.steering_kit import (
-    ADDRESS,
-    OTHER_ADDRESS,
-    SERVICE,
-    make_core,
-    make_entry,
-    make_route,
-    make_segment,
-    make_table,
-    number_of,
-)
+from currantshore import wire
+from currantshore.codes import ResultCode
+from currantshore.internal.requests.admission import AdmissionQueue
+from currantshore.internal.requests.runs import Work
+from currantshore.internal.snapshot import PriorityClass
+from tests.cover import request_kit as kit
 
-_USUAL_PER_S = 10
-_IDLE_RATIO = 0.2
-_FULL_RATIO = 0.9
+CLASSES = (
+    PriorityClass('urgent', 0, 0.3, queue_limit=32),
+    PriorityClass('bulk', 1, 0.2, queue_limit=32),
+)
+RUN_S = 0.1
 
 
-class GateKit(testtools.TestCase):
-    """Plays openings and answers at steady rates."""
+def make_work(request_id, priority_class='urgent', port=1, deadline_ms=60000):
+    request = kit.make_request(
+        request_id,
+        priority_class=priority_class,
+        deadline_ms=deadline_ms,
+    )
+    caller = wire.Endpoint('c', port)
+    return Work.from_request(kit.SERVICE, caller, port, 'dw-0', request, 0)
 
-    def setUp(self):
-        super().setUp()
-        self.gate = AdmissionGate(random.Random(1))
-        self.now_s = 100.0
-
-    def play(self, seconds, per_s, ratio, route=None, answers_per_s=70):
-        """Return the part of the openings that was admitted."""
-        opens = route or make_route()
-        admitted = 0
-        for step in range(seconds * answers_per_s):
-            self.now_s += 1 / answers_per_s
-            self.gate.note_answer(SERVICE, ratio, self.now_s)
-            if (
-                step * per_s // answers_per_s
-                < (step + 1) * per_s // answers_per_s
-            ):
-                admitted += self.gate.admits(opens, SERVICE, self.now_s)
-        return admitted / (seconds * per_s)
-
-
-class FloodTests(GateKit):
-    """Guards against queues that stand full and make every answer late."""
-
-    def test_what_is_above_the_usual_rate_is_refused_while_queues_stand(self):
-        self.play(20, _USUAL_PER_S, _IDLE_RATIO)
-        admitted = self.play(4, 8 * _USUAL_PER_S, _FULL_RATIO, None, 80)
-        self.assertLess(admitted, 0.25)
-        self.assertGreaterEqual(admitted, 1 / 8)
-
-    def test_the_same_flood_is_admitted_while_answers_are_in_time(self):
-        self.play(20, _USUAL_PER_S, _IDLE_RATIO)
-        admitted = self.play(4, 8 * _USUAL_PER_S, _IDLE_RATIO, None, 80)
-        self.assertEqual(1, admitted)
-
-    def test_another_kind_keeps_its_usual_rate_in_a_flood(self):
-        other = make_route(OTHER_ADDRESS)
-        self.play(20, _USUAL_PER_S, _IDLE_RATIO, other)
-        for _ in range(4):
-            self.play(1, 8 * _USUAL_PER_S, _FULL_RATIO, None, 80)
-            kept = self.play(1, _USUAL_PER_S, _FULL_RATIO, other)
-            self.assertGreater(kept, 0.9)
-
-    def test_a_new_route_opens_two_flows_a_second_in_a_flood(self):
-        self.play(20, _USUAL_PER_S, _FULL_RATIO)
-        admitted = self.play(10, 2, _FULL_RATIO, make_route(OTHER_ADDRESS))
-        self.assertEqual(1, admitted)
-
-    def test_a_flood_does_not_become_usual_while_it_lasts(self):
-        self.play(20, _USUAL_PER_S, _IDLE_RATIO)
-        self.play(30, 8 * _USUAL_PER_S, _FULL_RATIO, None, 80)
-        admitted = self.play(4, 8 * _USUAL_PER_S, _FULL_RATIO, None, 80)
-        self.assertLess(admitted, 0.25)
-
-    def test_a_host_that_has_just_started_knows_the_usual_rate_soon(self):
-        self.play(3, 4 * _USUAL_PER_S, _IDLE_RATIO, None, 80)
-        admitted = self.play(2, 4 * _USUAL_PER_S, _FULL_RATIO, None, 80)
-        self.assertGreater(admitted, 0.8)
-
-    def test_all_is_admitted_again_once_answers_are_in_time(self):
-        self.play(20, _USUAL_PER_S, _IDLE_RATIO)
-        self.play(4, 8 * _USUAL_PER_S, _FULL_RATIO, None, 80)
-        self.play(1, 1, _IDLE_RATIO)
-        self.assertEqual(1, self.play(4, 4 * _USUAL_PER_S, _IDLE_RATIO))
-
-
-class ForgettingTests(GateKit):
-    """Guards against a host that grows with every route that ever was."""
-
-    def test_routes_and_services_that_have_gone_are_forgotten(self):
-        self.play(2, _USUAL_PER_S, _IDLE_RATIO)
-        self.play(2, _USUAL_PER_S, _IDLE_RATIO, make_route(OTHER_ADDRESS))
-        self.gate.forget_gone({ADDRESS}, self.now_s)
-        self.assertEqual((1, 1), self.gate.sizes())
-        self.gate.forget_gone({}, self.now_s + 2)
-        self.assertEqual((0, 0), self.gate.sizes())
-
-
-class FalseAlarmTests(GateKit):
-    """Guards against refusals while servers have free slots."""
-
-    def test_a_few_slow_servers_refuse_nobody(self):
-        self.play(20, _USUAL_PER_S, _IDLE_RATIO)
-        admitted = 0
-        for step in range(400):
-            self.now_s += 0.01
-            ratio = 3.0 if step % 3 == 0 else _IDLE_RATIO
-            self.gate.note_answer(SERVICE, ratio, self.now_s)
-            admitted += self.gate.admits(make_route(), SERVICE, self.now_s)
-        self.assertEqual(400, admitted)
-
-    def test_few_answers_refuse_nobody(self):
-        admitted = self.play(5, 5, _FULL_RATIO, None, 6)
-        self.assertEqual(1, admitted)
-
-    def test_old_answers_refuse_nobody(self):
-        self.play(5, _USUAL_PER_S, _FULL_RATIO)
-        self.now_s += 1.5
-        admits = [
-            self.gate.admits(make_route(), SERVICE, self.now_s)
-            for _ in range(50)
-        ]
-        self.assertTrue(all(admits))
-
-
-class CoreTests(testtools.TestCase):
-    """Guards against openings that are judged by what shows no queue."""
 
+class QueueCase(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.core = make_core([make_entry(1)])
-        self.now_s = 100.0
-
-    def answer(self, latency_s, segments=1):
-        """Play overlapping requests on server 1 that take ``latency_s``."""
-        begin_s = self.now_s
-        asked = make_segment(1, size=9)
-        answered = make_segment(1, 10, 500)
-        moments = []
-        for number in range(16):
-            asked_s = begin_s + number * 0.01
-            moments += itertools.repeat((asked_s, number, asked), segments)
-            moments.append((asked_s + latency_s, number, answered))
-        for at_s, number, segment in sorted(moments):
-            self.now_s = at_s
-            self.core.tick(at_s)
-            key = b'flow-%d' % number
-            self.core.on_segment(key, ADDRESS, segment, at_s)
-
-    def open(self):
-        placed = set()
-        for number in range(50):
-            key = b'new-%d' % number
-            found = self.core.on_opening(key, ADDRESS, b'syn', self.now_s)
-            is_refused = isinstance(found, FlowRefusal)
-            placed.add(found if is_refused else number_of(found))
-        return placed
-
-    def test_late_answers_refuse_new_flows_truthfully(self):
-        self.answer(0.24)
-        self.assertIn(FlowRefusal.SERVICE_FULL, self.open())
-        self.assertTrue(FlowRefusal.SERVICE_FULL.is_told)
-
-    def test_an_open_flow_is_never_refused(self):
-        self.answer(0.24)
-        asked = make_segment(1, 10, 500, size=9)
-        found = self.core.on_segment(b'flow-0', ADDRESS, asked, self.now_s)
-        self.assertEqual(1, number_of(found))
-
-    def test_a_request_that_was_sent_again_shows_no_queue(self):
-        # After a cut has healed, many late answers come at once.
-        self.answer(0.24, segments=2)
-        self.assertEqual({1}, self.open())
-
-    def test_what_an_upload_takes_shows_no_queue(self):
-        upload = dataclasses.replace(make_route(), kind=RequestKind.UPLOAD)
-        self.core.configure(make_table(2, [upload]))
-        self.answer(0.24)
-        self.assertEqual({1}, self.open())
-
-    def test_answers_after_a_stall_of_this_host_show_no_queue(self):
-        for number in range(16):
-            key = b'flow-%d' % number
-            asked = make_segment(1, size=9)
-            self.core.on_segment(key, ADDRESS, asked, self.now_s)
-        self.now_s += 0.3
-        for number in range(16):
-            key = b'flow-%d' % number
-            answered = make_segment(1, 10, 500)
-            self.core.on_segment(key, ADDRESS, answered, self.now_s)
-        self.assertEqual({1}, self.open())
+        self.queue = AdmissionQueue()
+        self.queue.configure(CLASSES)
+        self.next_id = 0
+
+    def offer(self, *arguments, **fields):
+        self.next_id += 1
+        work = make_work(self.next_id, *arguments, **fields)
+        return self.queue.offer(work, 1, 0)
+
+    def learn(self, priority_class):
+        work = make_work(0, priority_class)
+        self.queue.on_start(work, 0)
+        self.queue.on_end(work, RUN_S, is_answered=True)
+
+    def serve(self, count, now_s=0.0):
+        """Run ``count`` requests after each other; return their classes."""
+        served = []
+        for _ in range(count):
+            work = self.queue.take()
+            self.queue.on_start(work, now_s)
+            now_s += RUN_S
+            self.queue.on_end(work, RUN_S, is_answered=True)
+            served.append(work.request.priority_class)
+        return served
+
+
+class UrgencyTests(QueueCase):
+    """Guards against urgent work that waits, or that takes everything."""
+
+    def test_urgent_work_goes_first(self):
+        self.offer('bulk')
+        self.offer('urgent')
+        self.assertEqual(['urgent', 'bulk'], self.serve(2))
+
+    def test_in_a_flood_of_urgent_work_bulk_keeps_its_share(self):
+        for port in range(32):
+            self.offer('urgent', port)
+            self.offer('bulk', port)
+        served = self.serve(30)
+        self.assertGreaterEqual(served.count('bulk'), 6)
+        self.assertGreaterEqual(served.count('urgent'), 21)
+
+    def test_a_class_alone_gets_everything(self):
+        for port in range(32):
+            self.offer('bulk', port)
+        self.assertEqual(32, self.serve(32).count('bulk'))
+
+    def test_spare_slots_used_before_do_not_count_against_the_share(self):
+        for port in range(32):
+            self.offer('bulk', port)
+        self.serve(32)
+        for port in range(32):
+            self.offer('urgent', port)
+            self.offer('bulk', port)
+        self.assertIn('bulk', self.serve(6, 3.2))
+
+    def test_idle_time_is_not_saved_up(self):
+        for port in range(32):
+            self.offer('urgent', port)
+        self.serve(30)
+        for port in range(32):
+            self.offer('bulk', port)
+            self.offer('urgent', port)
+        self.assertLess(self.serve(10, 3.0).count('bulk'), 5)
+
+
+class TurnTests(QueueCase):
+    """Guards against a greedy caller that keeps others of its class out."""
+
+    def test_callers_take_turns(self):
+        for _ in range(3):
+            self.offer('urgent', 1)
+        self.offer('urgent', 2)
+        ports = [self.queue.take().caller.port for _ in range(4)]
+        self.assertEqual([1, 2, 1, 1], ports)
+
+    def test_one_caller_has_a_bounded_queue(self):
+        codes = [self.offer('urgent', 1) for _ in range(5)]
+        self.assertEqual({None}, set(codes[:4]))
+        self.assertIs(ResultCode.CALLER_LIMIT, codes[4].code)
+
+    def test_in_a_full_class_the_longest_queue_loses_one(self):
+        for port in range(8):
+            for _ in range(4):
+                self.offer('urgent', port)
+        rejection = self.offer('urgent', 99)
+        self.assertIs(ResultCode.QUEUE_FULL, rejection.code)
+        self.assertNotEqual(99, rejection.work.caller.port)
+        self.assertEqual(32, len(self.queue))
+
+    def test_in_a_full_class_of_equals_the_new_request_is_refused(self):
+        for port in range(32):
+            self.offer('urgent', port)
+        rejection = self.offer('urgent', 0)
+        self.assertIs(ResultCode.QUEUE_FULL, rejection.code)
+        self.assertEqual(0, rejection.work.caller.port)
+
+
+class ArrivalTests(QueueCase):
+    """Guards against requests that wait although they cannot finish."""
+
+    def test_a_wait_beyond_the_deadline_is_refused_on_arrival(self):
+        self.learn('urgent')
+        for port in range(5):
+            self.offer('urgent', port)
+        rejection = self.offer('urgent', 9, deadline_ms=300)
+        self.assertIs(ResultCode.DEADLINE_TOO_SHORT, rejection.code)
+        self.assertGreaterEqual(rejection.retry_after_ms, 100)
+
+    def test_urgent_work_does_not_wait_for_bulk_work(self):
+        self.learn('bulk')
+        for port in range(20):
+            self.offer('bulk', port)
+        self.assertIsNone(self.offer('urgent', 9, deadline_ms=300))
+
+    def test_a_late_request_is_given_up_before_its_deadline(self):
+        self.learn('urgent')
+        self.offer('urgent', 1, deadline_ms=300)
+        self.assertEqual([], self.queue.give_up(0.1))
+        self.assertEqual(1, len(self.queue.give_up(0.25)))
+        self.assertEqual(0, len(self.queue))
+
+    def test_a_request_that_need_not_wait_is_tried_in_any_case(self):
+        self.learn('urgent')
+        work = make_work(1, deadline_ms=50)
+        self.assertFalse(self.queue.is_too_late(work, 0))
+        self.assertTrue(self.queue.is_too_late(work, 0.01))
+
+    def test_an_unknown_class_is_refused(self):
+        rejection = self.offer('none')
+        self.assertIs(ResultCode.UNKNOWN_PRIORITY_CLASS, rejection.code)
+
+    def test_requests_of_a_removed_class_come_back(self):
+        self.offer('bulk')
+        self.assertEqual(1, len(self.queue.configure(CLASSES[:1])))
+
+
+class WithdrawTests(QueueCase):
+    """Guards against cancelled requests that still run."""
+
+    def test_a_withdrawn_request_is_not_taken(self):
+        work = make_work(1)
+        self.queue.offer(work, 1, 0)
+        self.assertTrue(self.queue.withdraw(work))
+        self.assertFalse(self.queue.withdraw(work))
+        self.assertIsNone(self.queue.take())
+
+    def test_a_request_that_was_put_back_is_the_next(self):
+        self.offer('urgent', 1)
+        self.offer('urgent', 2)
+        work = self.queue.take()
+        self.queue.put_back([work])
+        self.assertIs(work, self.queue.take())
