Let a value that is not known cost at most the object that bears it

Ruled out: adding the word alone; the next unknown value would do the same. Found beside it: a page whose last object cannot be read went on from an earlier name, and a page without a readable object ended the listing early, which would have lapsed all later servers; a port beyond 65,535 raised struct.error; a number beyond 64 bits in an entry could not be passed on. Change: routes, shares, limits, events and entries are decoded one by one; an unknown type runs once at most; a configuration that cannot be read leaves the one in force; each fault is logged once and counted; an answer of an unknown shape is asked for again after a pause that grows to 30 s. Downloads count as bulk in choosing.

--- a/src/currantshore/errors.py
+++ b/src/currantshore/errors.py
@@ -88,6 +88,10 @@
         return cls(f'{call} at {server}: {type(cause).__name__}: {cause}')
 
 
+class AnswerUnreadableError(CurrantshoreError):
+    """Raised when a complete answer of the store has an unknown shape."""
+
+
 class StoreRefusedError(CurrantshoreError):
     """Raised when the platform's store answers a call with a refusal."""
 
--- a/src/currantshore/internal/entry/following.py
+++ b/src/currantshore/internal/entry/following.py
@@ -6,6 +6,7 @@
 from typing import Final, Protocol
 
 from currantshore.errors import (
+    AnswerUnreadableError,
     CallFailedError,
     HistoryLostError,
     StoreRefusedError,
@@ -33,6 +34,11 @@
 _RETRY_MAX_S: Final = 0.6
 _MAX_DOUBLINGS: Final = 4
 
+# An answer that cannot be read will hardly be readable a moment later, so that
+# this pause grows until asking costs next to nothing.
+_UNREADABLE_MAX_S: Final = 30.0
+_UNREADABLE_DOUBLINGS: Final = 8
+
 # A watch that has not told within this time of a change that other hosts know
 # is taken for silent; two watches of one store differ by milliseconds.
 _BEHIND_S: Final = 0.4
@@ -84,12 +90,17 @@
         else:
             found = await self._store.read_configuration(_READ_TIMEOUT_S)
         self._revision = max(self._revision, found.revision)
-        if found.table is not None:
-            self.is_known = True
-            self._version = max(self._version, found.table.version)
-            self._holdings.take_configuration(
-                found.table, found.body, 'store', found.revision
+        if found.table is None:
+            # One that cannot be read leaves what is in force.
+            self._holdings.tell_unreadable(
+                'configuration', found.faults, 'store'
             )
+            return
+        self.is_known = True
+        self._version = max(self._version, found.table.version)
+        self._holdings.take_configuration(
+            found.table, found.body, 'store', found.revision, found.faults
+        )
 
     def start_over(self) -> None:
         self._revision = 0
@@ -271,6 +282,12 @@
             case HistoryLostError():
                 self._log.write('history_lost', subject=watch.subject.name)
                 watch.subject.start_over()
+            case AnswerUnreadableError() as error:
+                # A watch would return the same answer again.
+                watch.subject.start_over()
+                watch.failures += 1
+                self._tell_lost(watch, error)
+                await self._pause_unreadable(watch.failures)
             case CallFailedError() | StoreRefusedError() as error:
                 watch.failures += 1
                 self._tell_lost(watch, error)
@@ -301,3 +318,8 @@
         doublings = min(failures, _MAX_DOUBLINGS)
         longest_s = min(_RETRY_MAX_S, _RETRY_MIN_S * 2**doublings)
         await asyncio.sleep(self._rng.uniform(_RETRY_MIN_S, longest_s))
+
+    async def _pause_unreadable(self, failures: int) -> None:
+        doublings = min(failures, _UNREADABLE_DOUBLINGS)
+        longest_s = min(_UNREADABLE_MAX_S, _RETRY_MIN_S * 2**doublings)
+        await asyncio.sleep(self._rng.uniform(longest_s / 2, longest_s))
--- a/src/currantshore/internal/entry/holdings.py
+++ b/src/currantshore/internal/entry/holdings.py
@@ -5,8 +5,9 @@
 """
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
-from typing import TypeAlias
+from typing import Final, TypeAlias
 
 from currantshore.internal.entry.decisionlog import DecisionLog
 from currantshore.internal.mirror.core import MirrorCore, Sending
@@ -18,6 +19,10 @@
 )
 from currantshore.internal.steering.core import SteeringCore
 
+# Faults that are remembered as logged: an entry is written every heartbeat, and
+# a fault in it would be logged as often. More faults are logged again.
+_MAX_TOLD_FAULTS: Final = 256
+
 SpreadHook: TypeAlias = Callable[[Iterable[Sending]], None]
 
 
@@ -28,10 +33,12 @@
         '_log',
         '_loop',
         '_steering',
+        '_told_faults',
         'configuration_body',
         'is_listed',
         'mirror',
         'on_news',
+        'unreadable',
     )
 
     def __init__(
@@ -47,6 +54,8 @@
         self.mirror = mirror
         self.configuration_body = b''
         self.is_listed = False
+        self.unreadable: Counter[str] = Counter()
+        self._told_faults: set[str] = set()
         # Sends messages to other hosts; set when the sockets are open.
         self.on_news: SpreadHook = _send_nowhere
 
@@ -60,11 +69,13 @@
         body: bytes,
         origin: str,
         revision: int = 0,
+        faults: Iterable[str] = (),
     ) -> None:
         """Take a configuration that ``origin`` delivered."""
         if not self.mirror.take_configuration(table):
             return
         self.configuration_body = body
+        self.tell_unreadable('configuration', faults, origin)
         self._log.write(
             'configuration_in_force',
             version=table.version,
@@ -119,6 +130,24 @@
             origin=origin,
         )
 
+    def tell_unreadable(
+        self,
+        kind: str,
+        faults: Iterable[str],
+        origin: str,
+    ) -> None:
+        """Count what cannot be read, and log each fault once."""
+        for fault in faults:
+            self.unreadable[kind] += 1
+            if fault in self._told_faults:
+                continue
+            if len(self._told_faults) >= _MAX_TOLD_FAULTS:
+                self._told_faults.clear()
+            self._told_faults.add(fault)
+            self._log.write(
+                'object_unreadable', kind=kind, fault=fault, origin=origin
+            )
+
     def tell_changed(
         self,
         changed: Iterable[str],
@@ -126,8 +155,7 @@
         faults: Iterable[str] = (),
     ) -> None:
         """Log what changed of the backend servers."""
-        for fault in faults:
-            self._log.write('backend_entry_unreadable', fault=fault)
+        self.tell_unreadable('backend_server', faults, origin)
         for backend_id in changed:
             backend = self._steering.directory.get(backend_id)
             self._log.write(
--- a/src/currantshore/internal/entry/host.py
+++ b/src/currantshore/internal/entry/host.py
@@ -247,6 +247,7 @@
             'peer_messages': self._peering.counts,
             'store_calls': self._follower.calls,
             'checks': {'attempts': self._checker.attempts},
+            'unreadable_objects': self._holdings.unreadable,
             'log_lines': {'lost': self._log.lost},
         }
 
--- a/src/currantshore/internal/entry/peering.py
+++ b/src/currantshore/internal/entry/peering.py
@@ -33,6 +33,9 @@
 _UNAVAILABLE: Final = 503
 _BATCH_LIMIT: Final = 32
 
+# Eight entries with the longest names take more than one packet of a link.
+_READ_SIZE_BYTES: Final = 4 * MAX_MESSAGE_SIZE_BYTES
+
 # A configuration of 1 MB takes 0.8 s over a link of 10 Mbit/s.
 _FETCH_TIMEOUT_S: Final = 2.0
 
@@ -138,7 +141,7 @@
     def _read_batch(self) -> None:
         for _ in range(_BATCH_LIMIT):
             try:
-                payload, source = self._socket.recvfrom(MAX_MESSAGE_SIZE_BYTES)
+                payload, source = self._socket.recvfrom(_READ_SIZE_BYTES)
             except BlockingIOError:
                 return
             except OSError:
@@ -193,8 +196,9 @@
 
     def _take_configuration(self, host: str, packed: bytes) -> None:
         body = zlib.decompress(packed)
+        found = decode_configuration(body)
         self._holdings.take_configuration(
-            decode_configuration(body), body, host
+            found.table, body, host, faults=found.faults
         )
 
     def _take_backends(self, host: str, body: bytes) -> None:
--- a/src/currantshore/internal/steering/catalog.py
+++ b/src/currantshore/internal/steering/catalog.py
@@ -9,11 +9,21 @@
 
 @enum.unique
 class RequestKind(enum.Enum):
-    """How the requests of a route may be treated."""
+    """How the requests of a route may be treated.
+
+    A download may be repeated, an upload runs once at most; both carry many
+    times the bytes of other requests.
+    """
 
     IDEMPOTENT = 'idempotent'
     AT_MOST_ONCE = 'at_most_once'
     UPLOAD = 'upload'
+    DOWNLOAD = 'download'
+
+    @property
+    def is_bulk(self) -> bool:
+        """Tell whether a request's bytes weigh more than its work."""
+        return self in {RequestKind.UPLOAD, RequestKind.DOWNLOAD}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/currantshore/internal/steering/choosing.py
+++ b/src/currantshore/internal/steering/choosing.py
@@ -31,9 +31,9 @@
 # for each slot.
 _CROSSING_LOAD: Final = 0.75
 
-# An upload of 80 kB across zones costs Lakeshore nearly what the answer is
-# worth, so that it leaves its zone only when there is no server in it.
-_UPLOAD_CROSSING_LOAD: Final = 1000.0
+# An upload or download of 80 kB across zones costs Lakeshore nearly what the
+# answer is worth: it leaves its zone only when there is no server in it.
+_BULK_CROSSING_LOAD: Final = 1000.0
 
 # Servers that answer late or not at all come after all others.
 _SUSPECT_LOAD: Final = 10_000.0
@@ -114,8 +114,7 @@
         if now_s < backend.warm_at_s:
             load = (load + 1 / entry.slots) * _COLD_SLOWNESS
         if entry.zone != self._zone:
-            is_upload = kind is RequestKind.UPLOAD
-            load += _UPLOAD_CROSSING_LOAD if is_upload else _CROSSING_LOAD
+            load += _BULK_CROSSING_LOAD if kind.is_bulk else _CROSSING_LOAD
         if now_s < backend.suspect_until_s:
             load += _SUSPECT_LOAD
         if backend.standing is Standing.LAPSED:
--- a/src/currantshore/platform/objects.py
+++ b/src/currantshore/platform/objects.py
@@ -1,7 +1,8 @@
 """Objects of the platform's store, decoded into the product's types."""
 
-from collections.abc import Iterable
-from typing import Any, Final, Literal, NamedTuple
+import contextlib
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Annotated, Any, Final, Literal, NamedTuple, TypeAlias
 
 import msgspec
 
@@ -21,18 +22,33 @@
 _HEX_DIGITS: Final = frozenset('0123456789abcdef')
 _MAX_INSTANCE: Final = 2**64
 
+# Hosts pass these numbers on as MessagePack, which ends at 64 bits.
+_MAX_NUMBER: Final = 2**63 - 1
+_Number: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
+
+# Names that hosts pass on, eight servers to a datagram: as long as a DNS label.
+_Name: TypeAlias = Annotated[str, msgspec.Meta(min_length=1, max_length=63)]
+
 _KINDS: Final = {
     'safe': RequestKind.IDEMPOTENT,
     'unsafe': RequestKind.AT_MOST_ONCE,
     'upload': RequestKind.UPLOAD,
+    'download': RequestKind.DOWNLOAD,
 }
 
+# Without a readable limit, flows are kept in memory for as long as the users'
+# pages let a flow live.
+_FALLBACK_IDLE_TIMEOUT_S: Final = 60.0
+
+# A log line shows the beginning of what cannot be read.
+_SHOWN_BYTES: Final = 80
+
 _BAD_OBJECT: Final = (msgspec.DecodeError, ValueError, OSError)
 
 
 class _Meta(msgspec.Struct):
-    name: str
-    revision: int = 0
+    name: _Name
+    revision: _Number = 0
 
 
 class _Object(msgspec.Struct):
@@ -40,10 +56,20 @@
     spec: msgspec.Raw = msgspec.Raw(b'null')
 
 
+class _NamedMeta(msgspec.Struct):
+    name: str
+
+
+class _NamedObject(msgspec.Struct):
+    """What a listing needs to go on after an object it cannot read."""
+
+    meta: _NamedMeta
+
+
 class _Page(msgspec.Struct, rename='kebab'):
     items: list[msgspec.Raw]
     # The store's revision at which the whole page holds.
-    as_of: int
+    as_of: _Number
     has_more: bool = False
 
 
@@ -53,13 +79,13 @@
 
 
 class _Events(msgspec.Struct, rename='kebab'):
-    events: list[_Event]
-    as_of: int
+    events: list[msgspec.Raw]
+    as_of: _Number
 
 
 class _Share(msgspec.Struct):
     service: str
-    weight: float
+    weight: Annotated[float, msgspec.Meta(ge=0)]
 
 
 class _Route(msgspec.Struct, rename='kebab'):
@@ -67,33 +93,43 @@
     host: str
     # A port between slashes, not a path.
     path_prefix: str
-    route_type: str
-    timeout_ms: float
-    target_latency_ms: float
+    route_type: Literal['safe', 'unsafe', 'upload', 'download']
+    timeout_ms: Annotated[float, msgspec.Meta(ge=0)]
+    target_latency_ms: Annotated[float, msgspec.Meta(ge=0)]
     priority: int = 0
     service: str = ''
-    weighted_services: list[_Share] = []
+    weighted_services: list[msgspec.Raw] = []
+
+
+# What is assumed of a route's fields that cannot be read. An unknown type runs
+# once at most, and without a target latency no answer counts as late.
+_SAFE_READINGS: Final = {
+    'name': '',
+    'route_type': 'unsafe',
+    'timeout_ms': 0,
+    'target_latency_ms': 0,
+}
 
 
 class _Limits(msgspec.Struct, rename='kebab'):
-    idle_timeout_ms: float
+    idle_timeout_ms: Annotated[float, msgspec.Meta(gt=0)]
 
 
 class _Configuration(msgspec.Struct):
-    version: int
-    routes: list[_Route]
-    limits: _Limits
+    version: _Number
+    routes: list[msgspec.Raw]
+    limits: msgspec.Raw = msgspec.Raw(b'null')
 
 
 class _Server(msgspec.Struct, rename='kebab'):
-    service: str
+    service: _Name
     address: str
-    zone: str
+    zone: _Name
     state: Literal['ready', 'draining']
-    slots: int
-    warmup_left_ms: float = 0
+    slots: Annotated[int, msgspec.Meta(ge=1, le=2**31)]
+    warmup_left_ms: Annotated[float, msgspec.Meta(ge=0, le=2**31)] = 0
     # Unix milliseconds of the server's start.
-    born: int = 0
+    born: _Number = 0
 
 
 class Page(NamedTuple):
@@ -113,8 +149,15 @@
     revision: int
 
 
+class ReadConfiguration(NamedTuple):
+    """A configuration, and a sentence for each part that cannot be read."""
+
+    table: RoutingTable
+    faults: tuple[str, ...]
+
+
 class Configured(NamedTuple):
-    """A configuration, None where there is none yet, and its revision.
+    """A configuration, None where none can be read, and its revision.
 
     ``body`` is what ``decode_configuration`` takes, for other hosts.
     """
@@ -122,6 +165,12 @@
     table: RoutingTable | None
     body: bytes
     revision: int
+    faults: tuple[str, ...] = ()
+
+    @property
+    def version(self) -> int:
+        """The version of the configuration, 0 where there is none."""
+        return 0 if self.table is None else self.table.version
 
 
 _page_decoder: Final = msgspec.json.Decoder(_Page)
@@ -129,6 +178,12 @@
 _object_decoder: Final = msgspec.json.Decoder(_Object)
 _server_decoder: Final = msgspec.json.Decoder(_Server)
 _configuration_decoder: Final = msgspec.json.Decoder(_Configuration)
+_event_decoder: Final = msgspec.json.Decoder(_Event)
+_named_decoder: Final = msgspec.json.Decoder(_NamedObject)
+_route_decoder: Final = msgspec.json.Decoder(_Route)
+_share_decoder: Final = msgspec.json.Decoder(_Share)
+_limits_decoder: Final = msgspec.json.Decoder(_Limits)
+_fields_decoder: Final = msgspec.json.Decoder(dict[str, msgspec.Raw])
 
 
 def decode_backend_page(body: bytes) -> Page:
@@ -139,15 +194,13 @@
     page = _page_decoder.decode(body)
     entries: list[BackendEntry] = []
     faults: list[str] = []
-    last_name = ''
     for raw in page.items:
         try:
-            found = _object_decoder.decode(raw)
-            last_name = found.meta.name
-            entries.append(_decode_backend(found))
+            entries.append(_decode_backend(_object_decoder.decode(raw)))
         except _BAD_OBJECT as error:
             faults.append(_describe_fault(raw, error))
-    return Page(entries, faults, page.as_of, last_name if page.has_more else '')
+    next_name = _last_name(page.items) if page.has_more else ''
+    return Page(entries, faults, page.as_of, next_name)
 
 
 def decode_backend_changes(body: bytes) -> Changes:
@@ -159,11 +212,12 @@
     seen = _events_decoder.decode(body)
     changes: list[BackendEntry | BackendRemoved] = []
     faults: list[str] = []
-    for event in seen.events:
+    for raw in seen.events:
         try:
+            event = _event_decoder.decode(raw)
             found = _object_decoder.decode(event.object)
         except _BAD_OBJECT as error:
-            faults.append(_describe_fault(event.object, error))
+            faults.append(_describe_fault(raw, error))
             continue
         changes.append(_decode_change(found, event.removed, faults))
     return Changes(changes, faults, seen.as_of)
@@ -173,8 +227,8 @@
     """Decode the listing that holds the one configuration.
 
     Raises:
-        msgspec.DecodeError: it is no listing, or the configuration in it
-            cannot be read.
+        msgspec.DecodeError: it is no listing. A configuration in it that
+            cannot be read is a fault, and no table.
     """
     page = _page_decoder.decode(body)
     return _newest_configuration(page.items, page.as_of)
@@ -183,16 +237,54 @@
 def decode_configuration_changes(body: bytes) -> Configured:
     """Decode what a watch of the configuration returned."""
     seen = _events_decoder.decode(body)
-    kept = [event.object for event in seen.events if not event.removed]
-    return _newest_configuration(kept, seen.as_of)
+    kept: list[msgspec.Raw] = []
+    faults: list[str] = []
+    for raw in seen.events:
+        try:
+            event = _event_decoder.decode(raw)
+        except msgspec.DecodeError as error:
+            faults.append(_describe_fault(raw, error))
+            continue
+        if not event.removed:
+            kept.append(event.object)
+    newest = _newest_configuration(kept, seen.as_of)
+    return newest._replace(faults=(*faults, *newest.faults))
+
 
+def decode_configuration(spec: bytes) -> ReadConfiguration:
+    """Decode the body of one configuration.
 
-def decode_configuration(spec: bytes) -> RoutingTable:
-    """Decode the body of one configuration; raises ``DecodeError``."""
+    A route that cannot be read costs no other one.
+
+    Raises:
+        msgspec.DecodeError: version or list of routes cannot be read.
+    """
     found = _configuration_decoder.decode(spec)
-    routes = {route.address_key: route for route in _read_routes(found.routes)}
-    idle_timeout_s = found.limits.idle_timeout_ms / _MILLISECONDS
-    return RoutingTable(found.version, routes, idle_timeout_s)
+    faults: list[str] = []
+    routes: dict[bytes, Route] = {}
+    for raw in found.routes:
+        try:
+            route = _read_route(raw, faults)
+        except _BAD_OBJECT as error:
+            faults.append(f'route left out: {_describe_fault(raw, error)}')
+        else:
+            routes[route.address_key] = route
+    try:
+        limits = _limits_decoder.decode(found.limits)
+        idle_timeout_s = limits.idle_timeout_ms / _MILLISECONDS
+    except msgspec.DecodeError as error:
+        faults.append(f'limits: {error}')
+        idle_timeout_s = _FALLBACK_IDLE_TIMEOUT_S
+    table = RoutingTable(found.version, routes, idle_timeout_s)
+    return ReadConfiguration(table, tuple(faults))
+
+
+def _last_name(items: Sequence[msgspec.Raw]) -> str:
+    # An object of which not even the name can be read is passed over.
+    for raw in reversed(items):
+        with contextlib.suppress(msgspec.DecodeError):
+            return _named_decoder.decode(raw).meta.name
+    raise msgspec.DecodeError('no object of a page with more to come is named')
 
 
 def _newest_configuration(
@@ -200,34 +292,83 @@
     revision: int,
 ) -> Configured:
     newest = Configured(None, b'', revision)
+    faults: list[str] = []
     for raw in objects:
-        found = _object_decoder.decode(raw)
-        if found.meta.name != 'main':
+        try:
+            found = _read_main(raw, revision)
+        except msgspec.DecodeError as error:
+            faults.append(f'configuration: {_describe_fault(raw, error)}')
             continue
-        table = decode_configuration(found.spec)
-        if newest.table is None or table.version > newest.table.version:
-            newest = Configured(table, bytes(found.spec), revision)
-    return newest
-
-
-def _read_routes(routes: Iterable[_Route]) -> Iterable[Route]:
-    for route in routes:
-        shares = [
-            ServiceShare(share.service, share.weight)
-            for share in route.weighted_services
-        ]
-        if route.service:
-            shares = [ServiceShare(route.service, 1)]
-        port = int(route.path_prefix.strip('/'))
-        yield Route(
-            encode_address(route.host, port),
-            route.name,
-            tuple(shares),
-            _KINDS[route.route_type],
-            route.priority,
-            route.target_latency_ms / _MILLISECONDS,
-            route.timeout_ms / _MILLISECONDS,
-        )
+        if found.version > newest.version:
+            newest = found
+    return newest._replace(faults=(*faults, *newest.faults))
+
+
+def _read_main(raw: msgspec.Raw, revision: int) -> Configured:
+    found = _object_decoder.decode(raw)
+    if found.meta.name != 'main':
+        return Configured(None, b'', revision)
+    table, faults = decode_configuration(found.spec)
+    return Configured(table, bytes(found.spec), revision, faults)
+
+
+def _read_route(raw: msgspec.Raw, faults: list[str]) -> Route:
+    try:
+        route = _route_decoder.decode(raw)
+    except msgspec.ValidationError:
+        route = _read_route_loosely(raw, faults)
+    shares: tuple[ServiceShare, ...] = (ServiceShare(route.service, 1),)
+    if not route.service:
+        shares = tuple(_read_shares(route, faults))
+    port = int(route.path_prefix.strip('/'))
+    return Route(
+        encode_address(route.host, port),
+        route.name,
+        shares,
+        _KINDS[route.route_type],
+        route.priority,
+        route.target_latency_ms / _MILLISECONDS,
+        route.timeout_ms / _MILLISECONDS,
+    )
+
+
+def _read_route_loosely(raw: msgspec.Raw, faults: list[str]) -> _Route:
+    """Read what can be read of a route, field by field.
+
+    Raises:
+        msgspec.ValidationError: a field without a safe reading is missing.
+    """
+    found = _fields_decoder.decode(raw)
+    kept: dict[str, Any] = {}
+    for field in msgspec.structs.fields(_Route):
+        wire_name = field.encode_name
+        if wire_name not in found and not field.required:
+            continue
+        try:
+            kept[field.name] = msgspec.json.decode(
+                found.get(wire_name, b'null'), type=field.type
+            )
+        except msgspec.DecodeError as error:
+            faults.append(f'{_describe_route(found)} {wire_name}: {error}')
+    try:
+        return _Route(**{**_SAFE_READINGS, **kept})
+    except TypeError as error:
+        raise msgspec.ValidationError(str(error)) from error
+
+
+def _read_shares(route: _Route, faults: list[str]) -> Iterable[ServiceShare]:
+    for raw in route.weighted_services:
+        try:
+            share = _share_decoder.decode(raw)
+        except msgspec.DecodeError as error:
+            fault = _describe_fault(raw, error)
+            faults.append(f'route {route.name} weighted-services: {fault}')
+        else:
+            yield ServiceShare(share.service, share.weight)
+
+
+def _describe_route(found: Mapping[str, msgspec.Raw]) -> str:
+    return f'route {bytes(found.get("name", b""))[:_SHOWN_BYTES]!r}'
 
 
 def _decode_change(
@@ -251,8 +392,8 @@
     encode_address(host, int(port))
     digits = [one for one in found.meta.name if one in _HEX_DIGITS]
     instance = int(''.join(digits), _HEXADECIMAL)
-    if instance >= _MAX_INSTANCE or server.slots < 1:
-        raise ValueError(f'id or slots out of range in {server!r}')
+    if instance >= _MAX_INSTANCE:
+        raise ValueError(f'id {found.meta.name!r} exceeds 64 bits')
     return BackendEntry(
         found.meta.name,
         instance,
@@ -268,4 +409,4 @@
 
 
 def _describe_fault(raw: Any, error: Exception) -> str:
-    return f'{bytes(raw)[:80]!r}: {error}'
+    return f'{bytes(raw)[:_SHOWN_BYTES]!r}: {error}'
--- a/src/currantshore/platform/packets.py
+++ b/src/currantshore/platform/packets.py
@@ -32,6 +32,8 @@
 _RST: Final = 32
 _END: Final = _FIN | _RST
 
+_MAX_PORT: Final = 65_535
+
 _FLAGS_OFFSET: Final = 30
 _FLOW_START: Final = 14
 _ADDRESS_START: Final = 20
@@ -79,7 +81,12 @@
 
 
 def encode_address(host: str, port: int) -> bytes:
-    """Return the address key of ``host`` and ``port``."""
+    """Return the address key of ``host`` and ``port``.
+
+    Raises ``ValueError`` or ``OSError`` for what is no address.
+    """
+    if not 0 <= port <= _MAX_PORT:
+        raise ValueError(f'port={port!r} is not between 0 and {_MAX_PORT}')
     number = int.from_bytes(socket.inet_aton(host), 'big')
     return _ADDRESS.pack(number, port)
 
--- a/src/currantshore/platform/store.py
+++ b/src/currantshore/platform/store.py
@@ -4,7 +4,7 @@
 from typing import Final, Self, TypeVar
 
 from currantshore.errors import (
-    CallFailedError,
+    AnswerUnreadableError,
     HistoryLostError,
     StoreRefusedError,
 )
@@ -33,7 +33,8 @@
 class StoreConnection:
     """Calls the store over one connection, one call at a time.
 
-    Each method raises ``CallFailedError`` when no readable answer came,
+    Each method raises ``CallFailedError`` when no answer came,
+    ``AnswerUnreadableError`` for an answer of another shape,
     ``StoreRefusedError`` for a refusal, and ``HistoryLostError`` for a watch
     whose start the store has forgotten.
     """
@@ -105,9 +106,9 @@
             raise StoreRefusedError(target, answer.status)
         try:
             return decode(answer.body)
-        except (ValueError, KeyError, OSError) as error:
+        except ValueError as error:
             # The errors of msgspec are among them.
-            raise CallFailedError.from_call(target, 'store', error) from error
+            raise AnswerUnreadableError(f'{target}: {error}') from error
 
 
 def _watch_target(path: str, revision: int, wait_s: float) -> str:
--- a/tests/contract/test_following.py
+++ b/tests/contract/test_following.py
@@ -31,9 +31,12 @@
         )
         self.versions = []
 
-    def take_configuration(self, table, body, origin, revision):
+    def take_configuration(self, table, body, origin, revision, faults=()):
         self.versions.append(table.version)
 
+    def tell_unreadable(self, kind, faults, origin):
+        self.unreadable = tuple(faults)
+
     def take_listing(self, entries, faults, revision):
         self.entries = entries
 
@@ -41,8 +44,8 @@
         self.changes = changes
 
 
-class SilentWatchTests(testtools.TestCase):
-    """Guards against a reader that vouches for a store it cannot hear."""
+class FollowerKit(testtools.TestCase):
+    """Plays a follower that is served, against the stand-in."""
 
     def play(self, scenario):
         async def run():
@@ -85,6 +88,10 @@
             was_unserved = was_unserved or not self.follower.is_served()
         return was_unserved
 
+
+class SilentWatchTests(FollowerKit):
+    """Guards against a reader that vouches for a store it cannot hear."""
+
     def test_a_watch_that_misses_what_others_know_is_no_service(self):
         async def scenario(store):
             store.faults = Faults(is_silent=True)
@@ -120,3 +127,44 @@
             self.assertEqual(before, store.calls['GET'])
 
         self.play(scenario)
+
+
+class UnreadableTests(FollowerKit):
+    """Guards against a fault of ours that becomes a load on the store."""
+
+    def test_an_unreadable_configuration_leaves_the_one_before(self):
+        async def scenario(store):
+            await store.put('config', 'main', {'version': 'b'})
+            await asyncio.sleep(_STEP_S * 4)
+            self.assertEqual([1], self.holdings.versions)
+            self.assertEqual(1, len(self.holdings.unreadable))
+            self.assertTrue(self.follower.is_served())
+            before = store.calls['GET']
+            await asyncio.sleep(1)
+            # Both subjects wait in one watch each.
+            self.assertLessEqual(store.calls['GET'] - before, 2)
+            spec = {'version': 3, 'routes': []}
+            await store.put('config', 'main', spec)
+            await asyncio.sleep(_STEP_S * 8)
+            self.assertEqual([1, 3], self.holdings.versions)
+
+        self.play(scenario)
+
+    def test_answers_of_another_shape_are_asked_for_less_and_less(self):
+        async def scenario(store):
+            whole = store.page
+
+            def change_shape(kind, after):
+                return {'entries': whole(kind, after)['items']}
+
+            store.page = change_shape
+            await store.put('other', 'one', {})
+            store.forget_history()
+            await store.put('other', 'two', {})
+            before = self.follower.calls.total()
+            await asyncio.sleep(4)
+            # At the pause of a store that is away, there would be 20 or more.
+            self.assertLess(self.follower.calls.total() - before, 14)
+            self.assertFalse(self.follower.is_served())
+
+        self.play(scenario)
--- a/tests/contract/test_http.py
+++ b/tests/contract/test_http.py
@@ -7,6 +7,7 @@
 import testtools
 
 from currantshore.errors import (
+    AnswerUnreadableError,
     CallFailedError,
     HistoryLostError,
     StoreRefusedError,
@@ -231,7 +232,7 @@
 
         self.play(scenario)
 
-    def test_an_answer_of_another_kind_is_a_failed_call(self):
+    def test_an_answer_of_another_kind_is_unreadable(self):
         reply = json.dumps({'hello': 1}).encode()
         head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(reply)}\r\n\r\n'
         raw = RawServer(head.encode() + reply)
@@ -243,7 +244,7 @@
                 Endpoint(_LOOPBACK, port)
             )
             with contextlib.closing(connection):
-                with testtools.ExpectedException(CallFailedError):
+                with testtools.ExpectedException(AnswerUnreadableError):
                     await connection.list_backends('', _TIMEOUT_S)
             server.close()
 
--- a/tests/contract/test_platform_objects.py
+++ b/tests/contract/test_platform_objects.py
@@ -1,5 +1,7 @@
 """Objects of the store, decoded into the product's types."""
 
+import copy
+import itertools
 import json
 
 import msgspec
@@ -207,3 +209,154 @@
             self.assertRaises(
                 msgspec.DecodeError, objects.decode_configuration_page, body
             )
+
+
+# Values of other types and values that no version of the page has named.
+_ODD_VALUES = (
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**70), 2**70)
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.text(max_size=8)
+    | st.lists(st.integers(), max_size=2)
+    | st.dictionaries(st.text(max_size=4), st.integers(), max_size=2)
+)
+
+
+def list_paths(value, path=()):
+    """Return the path of every value within ``value``, itself included."""
+    if isinstance(value, dict):
+        children = value.items()
+    elif isinstance(value, list):
+        children = enumerate(value)
+    else:
+        children = ()
+    deeper = [list_paths(child, (*path, key)) for key, child in children]
+    return [path, *itertools.chain.from_iterable(deeper)]
+
+
+def replace_at(value, path, odd):
+    """Return a copy of ``value`` with ``odd`` at ``path``."""
+    changed = copy.deepcopy(value)
+    holder = changed
+    for key in path[:-1]:
+        holder = holder[key]
+    holder[path[-1]] = odd
+    return changed
+
+
+class UnknownValueTests(testtools.TestCase):
+    """Guards against one value of a later version that stops everything.
+
+    A route of a type that was not known kept every host from taking any
+    configuration, and had them ask the store again without a pause.
+    """
+
+    def change_route(self, field, odd):
+        spec = replace_at(_CONFIGURATION, ('routes', 0, field), odd)
+        return objects.decode_configuration(json.dumps(spec).encode())
+
+    def first_route(self, found):
+        return found.table.routes[encode_address('198.18.0.1', 8080)]
+
+    def test_a_download_may_be_repeated_and_is_large(self):
+        found = self.change_route('route-type', 'download')
+        kind = self.first_route(found).kind
+        self.assertEqual(RequestKind.DOWNLOAD, kind)
+        self.assertTrue(kind.is_bulk)
+        self.assertEqual((), found.faults)
+
+    def test_a_route_of_an_unknown_type_runs_once_at_most(self):
+        for odd in ('stream', 7, None):
+            found = self.change_route('route-type', odd)
+            kind = self.first_route(found).kind
+            self.assertEqual(RequestKind.AT_MOST_ONCE, kind)
+            self.assertEqual(1, len(found.faults))
+            self.assertIn('r-3d3zji9', found.faults[0])
+            self.assertIn('route-type', found.faults[0])
+
+    def test_a_route_without_readable_times_still_forwards(self):
+        found = self.change_route('target-latency-ms', 'soon')
+        self.assertEqual(0, self.first_route(found).target_latency_s)
+        self.assertEqual(2, len(found.table.routes))
+        self.assertEqual(1, len(found.faults))
+
+    def test_a_route_without_a_readable_address_costs_only_itself(self):
+        for field in ('host', 'path-prefix'):
+            found = self.change_route(field, 'nowhere')
+            self.assertEqual(1, len(found.table.routes))
+            self.assertEqual(1, len(found.faults))
+
+    def test_a_service_of_unknown_weight_gets_no_new_flows(self):
+        spec = copy.deepcopy(_CONFIGURATION)
+        spec['routes'][1]['weighted-services'][1]['weight'] = '10%'
+        found = objects.decode_configuration(json.dumps(spec).encode())
+        route = found.table.routes[encode_address('198.18.0.1', 8443)]
+        self.assertEqual((ServiceShare('huvo11a', 90),), route.shares)
+
+    def test_limits_that_cannot_be_read_keep_flows_longer(self):
+        spec = {**_CONFIGURATION, 'limits': {'idle-timeout-ms': 'never'}}
+        found = objects.decode_configuration(json.dumps(spec).encode())
+        self.assertGreaterEqual(found.table.idle_timeout_s, 15)
+        self.assertEqual(2, len(found.table.routes))
+
+    def test_a_configuration_that_cannot_be_read_leaves_the_one_before(self):
+        for spec in ('text', None, [], {'version': 'b'}, {'version': 8}):
+            found = objects.decode_configuration_changes(
+                make_events((make_object('main', spec, 532), False))
+            )
+            self.assertIsNone(found.table)
+            self.assertEqual(533, found.revision)
+            self.assertEqual(1, len(found.faults))
+
+    @given(st.sampled_from(list_paths(_CONFIGURATION)[1:]), _ODD_VALUES)
+    def test_one_odd_value_costs_at_most_its_route(self, path, odd):
+        if path in {('version',), ('routes',)}:
+            return
+        spec = replace_at(_CONFIGURATION, path, odd)
+        found = objects.decode_configuration_page(
+            make_page(make_object('main', spec))
+        )
+        whole = objects.decode_configuration_page(
+            make_page(make_object('main', _CONFIGURATION))
+        )
+        self.assertEqual(7, found.table.version)
+        hit = {path[1]} if path[0] == 'routes' else set()
+        for number, key in enumerate(whole.table.routes):
+            if number not in hit:
+                self.assertEqual(
+                    whole.table.routes[key], found.table.routes.get(key)
+                )
+
+    @given(st.sampled_from(list_paths(_SERVER)), _ODD_VALUES)
+    def test_one_odd_value_costs_at_most_its_server(self, path, odd):
+        bad = make_object('i-00000001', _SERVER)
+        if path:
+            bad['spec'] = replace_at(_SERVER, path, odd)
+        else:
+            bad['spec'] = odd
+        good = make_object('i-7f3a91c2', _SERVER)
+        page = objects.decode_backend_page(make_page(bad, good))
+        names = [entry.backend_id for entry in page.entries]
+        self.assertIn('i-7f3a91c2', names)
+        seen = objects.decode_backend_changes(
+            make_events((bad, False), (good, False))
+        )
+        names = [change.backend_id for change in seen.changes]
+        self.assertIn('i-7f3a91c2', names)
+
+    @given(st.sampled_from(('meta', 'spec', 'status')), _ODD_VALUES)
+    def test_an_object_of_odd_shape_costs_only_itself(self, field, odd):
+        bad = {**make_object('i-00000001', _SERVER), field: odd}
+        good = make_object('i-7f3a91c2', _SERVER)
+        page = objects.decode_backend_page(make_page(bad, good, odd))
+        names = [entry.backend_id for entry in page.entries]
+        self.assertIn('i-7f3a91c2', names)
+
+    def test_a_page_goes_on_after_an_object_without_a_name(self):
+        # The page's last object cannot be read, and the listing must end.
+        bad = {'meta': {'name': 'i-9', 'revision': 'x'}, 'spec': None}
+        page = objects.decode_backend_page(
+            make_page(make_object('i-1', _SERVER), bad, has_more=True)
+        )
+        self.assertEqual('i-9', page.next_name)
