Judge what a host may refuse by the age of what it knows, at the packet

Two more ways to the same fault were found: beats that had waited in the socket of a stopped host counted as new when they were read, and a suspended machine's monotonic clock does not count the suspension. Ruled out: refusing to place flows on old knowledge; a host that is cut off from the store has to go on serving by what it knows.

--- a/src/currantshore/entry.py
+++ b/src/currantshore/entry.py
@@ -13,6 +13,7 @@
 from typing import Final
 
 from currantshore.errors import SettingsError
+from currantshore.internal.entry.clock import SuspendAwareLoop
 from currantshore.internal.entry.decisionlog import DecisionLog
 from currantshore.internal.entry.host import EntryHost
 from currantshore.internal.entry.settings import (
@@ -119,7 +120,8 @@
         log.load_now()
         log.write('bad_settings', problems=error.problems)
         return _BAD_SETTINGS
-    return asyncio.run(serve(given, settings, log))
+    with asyncio.Runner(loop_factory=SuspendAwareLoop) as runner:
+        return runner.run(serve(given, settings, log))
 
 
 if __name__ == '__main__':
--- a/src/currantshore/internal/entry/forwarding.py
+++ b/src/currantshore/internal/entry/forwarding.py
@@ -190,7 +190,7 @@
             code=refusal.value,
             is_told=refusal.is_told,
             version=self._core.table.version,
-            is_current=self._core.is_current,
+            is_current=self._core.is_current(self._loop.time()),
         )
         if refusal.is_told:
             self._reset(key, sequence)
--- a/src/currantshore/internal/entry/host.py
+++ b/src/currantshore/internal/entry/host.py
@@ -259,7 +259,7 @@
             'backend_revision': self._mirror.revision,
             'known_hosts': self._mirror.known_hosts(),
             'is_reader': self._mirror.role.is_reader,
-            'is_current': self._core.is_current,
+            'is_current': self._core.is_current(self._loop.time()),
             'is_ready': self._was_ready and not self._is_leaving,
         }
 
--- a/src/currantshore/internal/mirror/core.py
+++ b/src/currantshore/internal/mirror/core.py
@@ -60,6 +60,12 @@
 # While a served beat is this fresh, this host holds what the store holds.
 _CURRENT_S: Final = 2.5
 
+# A host whose last tick is this long ago has stood still, and beats that wait
+# in its socket are as old. It has read them all, and newer ones of two rounds,
+# this long after; until then no beat counts as fresh.
+_STALL_S: Final = 0.5
+_BACKLOG_S: Final = 1.0
+
 # A configuration is fetched from another zone only when no host of this zone
 # has told of it for this long: bytes between zones are dear, and the reader of
 # this zone has it within milliseconds.
@@ -118,11 +124,13 @@
         '_beat_count',
         '_beats',
         '_config',
+        '_doubted_until_s',
         '_early',
         '_far_version',
         '_far_version_s',
         '_has_unspread',
         '_log',
+        '_looked_s',
         '_neighbours',
         '_rng',
         '_seeds',
@@ -151,6 +159,8 @@
         self._asked_s = 0.0
         self._far_version = 0
         self._far_version_s = 0.0
+        self._doubted_until_s = 0.0
+        self._looked_s = 0.0
         self._early = EarlyChanges()
         self._has_unspread = False
         self._spread_s = 0.0
@@ -199,6 +209,7 @@
         now_s: float,
     ) -> MirrorActions:
         """Take a message of another host."""
+        self._notice_stall(now_s)
         match message:
             case Digest():
                 return self._on_digest(host, message, now_s)
@@ -261,6 +272,8 @@
     ) -> MirrorActions:
         """Decide who reads; send a digest when it is time for one."""
         actions = MirrorActions()
+        self._notice_stall(now_s)
+        self._looked_s = now_s
         self._expire_beats(now_s)
         self.role.decide(
             self._beats,
@@ -268,7 +281,7 @@
             is_served=is_served,
             now_s=now_s,
         )
-        self._steering.is_current = self._is_current(now_s)
+        self._steering.vouch(self._current_until())
         is_beating = self.role.is_reader and not is_leaving
         pause_s = BEAT_INTERVAL_S
         if not is_beating:
@@ -403,16 +416,20 @@
             return False
         heard = self._beats.get(beat.host)
         if heard is None:
-            self._beats[beat.host] = HeardBeat(beat, now_s)
+            heard = self._beats[beat.host] = HeardBeat(beat, now_s)
         elif beat.is_newer_than(heard.beat):
             heard.beat = beat
             heard.heard_s = now_s
-            if beat.is_served:
-                heard.served_s = now_s
         else:
             return False
+        if beat.is_served and now_s >= self._doubted_until_s:
+            heard.served_s = now_s
         return beat.zone == self._config.zone
 
+    def _notice_stall(self, now_s: float) -> None:
+        if self._looked_s and now_s - self._looked_s > _STALL_S:
+            self._doubted_until_s = now_s + _BACKLOG_S
+
     def _expire_beats(self, now_s: float) -> None:
         for host, heard in tuple(self._beats.items()):
             if now_s - heard.heard_s > _BEAT_LIFE_S:
@@ -431,17 +448,16 @@
         )
         self._beats[config.host] = HeardBeat(beat, now_s)
 
-    def _is_current(self, now_s: float) -> bool:
+    def _current_until(self) -> float:
         if self.newest_version > self._steering.table.version:
-            return False
+            return 0
         if self.newest_revision > self._log.revision:
-            return False
-        if now_s - self.role.served_s < _CURRENT_S:
-            return True
-        return any(
-            now_s - heard.served_s < _CURRENT_S
-            for heard in self._beats.values()
+            return 0
+        served_s = max(
+            (heard.served_s for heard in self._beats.values()),
+            default=0,
         )
+        return max(served_s, self.role.served_s) + _CURRENT_S
 
     def _digest(self, now_s: float, *, is_leaving: bool = False) -> Digest:
         fresh = [
--- a/src/currantshore/internal/mirror/readerrole.py
+++ b/src/currantshore/internal/mirror/readerrole.py
@@ -55,7 +55,7 @@
         """Store ``beat``."""
         self.beat = beat
         self.heard_s = now_s
-        self.served_s = now_s if beat.is_served else 0.0
+        self.served_s = 0.0
 
 
 class ReaderRole:
--- a/src/currantshore/internal/steering/core.py
+++ b/src/currantshore/internal/steering/core.py
@@ -97,6 +97,7 @@
         '_chooser',
         '_cleaned_s',
         '_copies_left',
+        '_current_until_s',
         '_due',
         '_former',
         '_gate',
@@ -106,7 +107,6 @@
         '_unknown',
         '_watches',
         'directory',
-        'is_current',
         'records',
         'table',
     )
@@ -127,15 +127,27 @@
         self.directory = BackendDirectory(zone)
         self.records = FlowRecords()
         self.table = RoutingTable(0, {}, 0)
-        # False while neither the store nor a peer vouches for what is held,
-        # as at a start: what is missing then is no reason to refuse.
-        self.is_current = False
+        # Until when the store or a peer vouches for what is held. After that,
+        # as at a start, what is missing is no reason to refuse.
+        self._current_until_s = 0.0
 
     @classmethod
     def from_config(cls, zone: str, seed: int) -> Self:
         """Build the core of a host in ``zone``."""
         return cls(zone, random.Random(seed))
 
+    def vouch(self, until_s: float) -> None:
+        """Take what is held for what the store holds, until ``until_s``."""
+        self._current_until_s = until_s
+
+    def is_current(self, now_s: float) -> bool:
+        """Tell whether what this host does not know does not exist.
+
+        It is judged by the time of each packet and not by the last tick,
+        because the host may have stood still between the two.
+        """
+        return now_s < self._current_until_s
+
     def configure(self, table: RoutingTable) -> bool:
         """Put a newer configuration in force; tell whether it was newer."""
         if table.version <= self.table.version:
@@ -181,9 +193,7 @@
         """
         route = self.table.routes.get(address_key)
         if route is None:
-            if self.is_current:
-                return FlowRefusal.NO_ROUTE
-            return FlowRefusal.NOT_CURRENT
+            return self._refuse_unknown(FlowRefusal.NO_ROUTE, now_s)
         record = self.records.find(flow_key)
         if record is None:
             return self._place(flow_key, route, datagram, now_s, is_copy)
@@ -217,7 +227,7 @@
         if address_key not in self.table.routes:
             if address_key in self._former:
                 self.records.drop(flow_key)
-                return FlowRefusal.ROUTE_REMOVED
+                return self._refuse_unknown(FlowRefusal.ROUTE_REMOVED, now_s)
         backend = record.backend
         latency_s = self.records.note_segment(flow_key, record, segment, now_s)
         if latency_s is not None:
@@ -308,7 +318,7 @@
         self._copies_left = min(self._copies_left + _COPY_RATIO, _COPY_BURST)
         backend = self._choose(route, (), now_s)
         if backend is None:
-            return self._refuse_service()
+            return self._refuse_unknown(FlowRefusal.NO_BACKEND_SERVER, now_s)
         service_id = backend.entry.service_id
         if not (is_copy or self._gate.admits(route, service_id, now_s)):
             return FlowRefusal.SERVICE_FULL
@@ -329,7 +339,7 @@
         if backend is None:
             backend = self._choose(route, (), now_s)
         if backend is None:
-            return self._refuse_service()
+            return self._refuse_unknown(FlowRefusal.NO_BACKEND_SERVER, now_s)
         self.records.try_again(flow_key, record, backend, now_s)
         return backend
 
@@ -353,10 +363,13 @@
     def _is_held_up(self, now_s: float) -> bool:
         return now_s - self._ticked_s > TICK_INTERVAL_S + _HELD_UP_S
 
-    def _refuse_service(self) -> FlowRefusal:
-        if self.is_current:
-            return FlowRefusal.NO_BACKEND_SERVER
-        return FlowRefusal.NOT_CURRENT
+    def _refuse_unknown(
+        self,
+        refusal: FlowRefusal,
+        now_s: float,
+    ) -> FlowRefusal:
+        """Return ``refusal`` where this host may say that it knows all."""
+        return refusal if self.is_current(now_s) else FlowRefusal.NOT_CURRENT
 
     def _choose(
         self,
@@ -390,7 +403,7 @@
         backend = self.directory.find(token)
         if backend is None:
             return self._unknown.refuse(
-                token, now_s, is_current=self.is_current
+                token, now_s, is_current=self.is_current(now_s)
             )
         if not self._may_serve(address_key, backend.entry.service_id):
             return FlowRefusal.SERVICE_MISMATCH
--- a/tests/cover/steering_kit.py
+++ b/tests/cover/steering_kit.py
@@ -1,5 +1,7 @@
 """Entries, routes and packets for the tests of steering."""
 
+import math
+
 from currantshore.internal.steering.catalog import (
     BackendEntry,
     RequestKind,
@@ -51,7 +53,7 @@
     core = SteeringCore.from_config(zone, seed=1)
     core.configure(table or make_table())
     core.list_backends(entries, 1, now_s)
-    core.is_current = True
+    core.vouch(math.inf)
     core.tick(now_s)
     return core
 
--- a/tests/cover/test_steering_core.py
+++ b/tests/cover/test_steering_core.py
@@ -53,7 +53,7 @@
 
     def test_a_host_that_may_be_behind_does_not_refuse_a_route(self):
         core = make_core([make_entry(1)])
-        core.is_current = False
+        core.vouch(0)
         decision = core.on_opening(b'flow', OTHER_ADDRESS, b'syn', 100.0)
         self.assertFalse(decision.is_told)
 
@@ -189,7 +189,7 @@
 
     def test_an_unknown_token_is_never_told_by_a_host_that_may_be_behind(self):
         core = make_core([make_entry(1)])
-        core.is_current = False
+        core.vouch(0)
         for now_s in (100.0, 110.0):
             found = core.on_segment(b'f', ADDRESS, make_segment(77), now_s)
             self.assertFalse(found.is_told)
@@ -360,3 +360,40 @@
 
 def _targets(copies):
     return [copy.backend for copy in copies]
+
+
+class StoppedHostTests(testtools.TestCase):
+    """Guards against a host that was stopped and tells what it knew before.
+
+    Its first batch after the stop is read before its first tick.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.core = make_core([make_entry(1)])
+        self.core.vouch(102.5)
+
+    def test_a_route_that_may_have_come_meanwhile_is_not_refused(self):
+        told = self.core.on_opening(b'flow', OTHER_ADDRESS, b'syn', 102.4)
+        untold = self.core.on_opening(b'flow', OTHER_ADDRESS, b'syn', 108.0)
+        self.assertEqual((True, False), (told.is_told, untold.is_told))
+
+    def test_a_removed_route_that_may_be_back_ends_no_flow(self):
+        self.core.configure(make_table(2, routes=[]))
+        opened = make_segment(1)
+        told = self.core.on_segment(b'flow-1', ADDRESS, opened, 102.4)
+        untold = self.core.on_segment(b'flow-2', ADDRESS, opened, 108.0)
+        self.assertIs(FlowRefusal.ROUTE_REMOVED, told)
+        self.assertFalse(untold.is_told)
+
+    def test_a_service_that_may_have_servers_again_is_not_refused(self):
+        self.core.list_backends([], 2, 100.0)
+        told = self.core.on_opening(b'flow', ADDRESS, b'syn', 102.49)
+        self.assertEqual(1, number_of(told))
+        untold = self.core.on_opening(b'flow-2', ADDRESS, b'syn', 108.0)
+        self.assertFalse(untold.is_told)
+
+    def test_a_token_that_may_have_become_known_ends_no_flow(self):
+        self.core.on_segment(b'flow', ADDRESS, make_segment(7), 100.0)
+        untold = self.core.on_segment(b'flow', ADDRESS, make_segment(7), 108.0)
+        self.assertFalse(untold.is_told)
--- a/tests/stateful/mirror_world.py
+++ b/tests/stateful/mirror_world.py
@@ -91,6 +91,7 @@
         self.seeds = ()
         self._order = itertools.count()
         self._wire = []
+        self._stopped = {}
         names = [
             (f'10.{place}.0.{number}', f'zone-{place}')
             for place in range(zones)
@@ -110,6 +111,19 @@
     def kill(self, name):
         return self.hosts.pop(name)
 
+    def stop(self, name):
+        """Stop a host; return the list that its socket queues."""
+        queued = []
+        self._stopped[name] = (self.hosts.pop(name), queued)
+        return queued
+
+    def resume(self, name, queued):
+        """Go on with a stopped host, which reads ``queued`` first."""
+        host, _ = self._stopped.pop(name)
+        self.hosts[name] = host
+        for source, datagram in queued:
+            self._take(host, source, datagram)
+
     def run(self, seconds):
         end_s = self.now_s + seconds
         while self.now_s < end_s:
@@ -187,14 +201,20 @@
     def _deliver(self):
         while self._wire and self._wire[0][0] <= self.now_s:
             source, target, datagram = heapq.heappop(self._wire)[2:]
+            for name, (_, queued) in self._stopped.items():
+                if name == target:
+                    queued.append((source, datagram))
             host = self.hosts.get(target)
             if host is None or self._is_cut(source, host):
                 continue
-            actions = host.mirror.on_message(
-                source, decode_message(datagram), self.now_s
-            )
-            self._send(host, actions.sendings)
-            self._fetch(host, source, actions)
+            self._take(host, source, datagram)
+
+    def _take(self, host, source, datagram):
+        actions = host.mirror.on_message(
+            source, decode_message(datagram), self.now_s
+        )
+        self._send(host, actions.sendings)
+        self._fetch(host, source, actions)
 
     def _is_cut(self, source, host):
         sender = self.hosts.get(source)
--- a/tests/stateful/test_mirror.py
+++ b/tests/stateful/test_mirror.py
@@ -232,3 +232,41 @@
             world.cut_from_store = set(world.hosts)
         case _:
             world.run(2.0)
+
+
+class StoppedHostTests(testtools.TestCase):
+    """Guards against a host that was stopped and trusts messages of before.
+
+    They wait in its socket, oldest first.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.world = make_world()
+        self.name = next(
+            name
+            for name, host in self.world.hosts.items()
+            if not host.mirror.role.is_reader
+        )
+        self.host = self.world.hosts[self.name]
+
+    def is_current(self):
+        return self.host.steering.is_current(self.world.now_s)
+
+    def test_a_host_that_is_told_of_beats_is_current(self):
+        self.assertTrue(self.is_current())
+
+    def test_a_beat_that_waited_in_the_socket_vouches_for_nothing(self):
+        world = self.world
+        queued = world.stop(self.name)
+        world.run(8.0)
+        world.resume(self.name, queued[:1])
+        self.assertFalse(self.is_current())
+
+    def test_a_host_is_current_again_once_beats_are_new(self):
+        world = self.world
+        queued = world.stop(self.name)
+        world.run(8.0)
+        world.resume(self.name, queued)
+        world.run(2.5)
+        self.assertTrue(self.is_current())
