Look only at servers with work under way in each tick

Ruled out: a heap of deadlines; a server has several (first opening, first request, next attempt), each of which moves with every answer, so that the heap would be touched by each packet and not by each tick. Change: records name the servers with an unanswered opening or request; the watches (steering/watching.py) judge these and drop idle ones. The control of a trial is one of the last eight servers that answered. The directory lists a new server where it belongs and sorts only when tokens collide, a server moves or old ones go. The late openings with their budget are steering/lateopenings.py.

--- a/bench/entry.py
+++ b/bench/entry.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import dataclasses
 import random
 import socket
 import struct
@@ -25,8 +26,10 @@
     RoutingTable,
     ServiceShare,
 )
-from currantshore.internal.steering.core import SteeringCore
+from currantshore.internal.steering.core import TICK_INTERVAL_S, SteeringCore
 from currantshore.internal.steering.directory import backend_token
+from currantshore.internal.steering.flowrecords import Segment
+from currantshore.internal.steering.lateopenings import LATE_OPENING_S
 from currantshore.platform import packets
 from currantshore.wire import Endpoint
 
@@ -34,6 +37,11 @@
 _BACKENDS: Final = 480
 _FLOWS: Final = 20_000
 _BATCHES: Final = 600
+_TICKS: Final = 200
+_FIRST_TICKS: Final = 10
+
+# Servers of a small and a large site, and ten and fifty times as many.
+_SIZES: Final = (60, 264, 2640, 12_000)
 _HEAD: Final = struct.Struct('<HIIIHIIHIB')
 _ADDRESS: Final = ('198.18.0.1', 443)
 _SYN: Final = 4
@@ -57,8 +65,8 @@
     )
 
 
-def build_core(sink_port: int) -> SteeringCore:
-    """Return a core with the servers of one pool at the target size."""
+def build_core(sink_port: int, count: int = _BACKENDS) -> SteeringCore:
+    """Return a core with ``count`` servers of one service."""
     core = SteeringCore.from_config('zone-0', _SEED)
     key = packets.encode_address(*_ADDRESS)
     route = Route(
@@ -73,9 +81,9 @@
     core.configure(RoutingTable(1, {key: route}, 15))
     entries = [
         build_entry(number, 'service', sink_port)
-        for number in range(1, _BACKENDS + 1)
+        for number in range(1, count + 1)
     ]
-    core.list_backends(entries, _BACKENDS, 0)
+    core.list_backends(entries, count, 0)
     return core
 
 
@@ -166,6 +174,42 @@
     return grown / (len(core.records) - known)
 
 
+def measure_tick(count: int) -> dict[str, float]:
+    """Return the cost of ticks while one of ``count`` servers has work.
+
+    Every server has answered a request before.
+    """
+    core = build_core(1, count)
+    key = packets.encode_address(*_ADDRESS)
+    for number in range(1, count + 1):
+        flow_key = b'flow-%d' % number
+        token = backend_token(f'i-{number:08x}')
+        for sequence, size in ((1, 9), (10, 0)):
+            segment = Segment(token, sequence, sequence, size, False, False)
+            core.on_segment(flow_key, key, segment, 1.0)
+    # A host that has just started judges nobody for some ticks.
+    for step in range(_FIRST_TICKS):
+        core.tick(1.0 + step * TICK_INTERVAL_S)
+    now_s = 1.0 + _FIRST_TICKS * TICK_INTERVAL_S
+    core.on_opening(b'new', key, b'', now_s)
+    begin_s = time.perf_counter()
+    for step in range(_TICKS):
+        core.tick(now_s + step / _TICKS * LATE_OPENING_S)
+    tick_s = (time.perf_counter() - begin_s) / _TICKS
+    change = dataclasses.replace(
+        build_entry(1, 'service', 1), revision=count + 1
+    )
+    begin_s = time.perf_counter()
+    core.change_backends([change], count + 1, 1.0)
+    change_s = time.perf_counter() - begin_s
+    return {
+        'backend_servers': count,
+        'tick_us': round(tick_s * 1e6, 1),
+        'tick_core_ratio': round(tick_s / TICK_INTERVAL_S, 5),
+        'change_us': round(change_s * 1e6, 1),
+    }
+
+
 def drain(sink: socket.socket) -> None:
     """Read what a measurement has sent."""
     while True:
@@ -196,6 +240,7 @@
         'known_flow_to_relay_ratio': round(spent_s['known_flow'] / relay_s, 2),
         'opening_to_relay_ratio': round(spent_s['opening'] / relay_s, 2),
         'relay_us': round(relay_s * 1e6, 2),
+        'sizes': [measure_tick(count) for count in _SIZES],
         'flow_record_bytes': round(measure_flow_bytes(core)),
     }
 
--- a/src/currantshore/internal/entry/checking.py
+++ b/src/currantshore/internal/entry/checking.py
@@ -46,7 +46,7 @@
             task.cancel()
 
     async def _check(self, backend: Backend) -> None:
-        control = self._core.control_of(backend)
+        control = self._core.watches.control_of(backend)
         is_reachable, is_control_reachable = await asyncio.gather(
             self._reach(backend, _CHECK_TIMEOUT_S),
             self._reach(control, _CONTROL_TIMEOUT_S),
@@ -63,7 +63,7 @@
             is_reachable=is_reachable,
             is_control_reachable=is_control_reachable,
             control_id=control.entry.backend_id if control else '',
-            health=self._core.health(backend).value,
+            health=self._core.watches.health(backend).value,
             resets=len(resets),
         )
         if resets:
--- a/src/currantshore/internal/steering/core.py
+++ b/src/currantshore/internal/steering/core.py
@@ -1,6 +1,5 @@
 """Decides what happens to each packet of a flow that carries a token."""
 
-import collections
 import dataclasses
 import random
 from collections.abc import Iterable, Sequence
@@ -20,27 +19,20 @@
 from currantshore.internal.steering.directory import (
     Backend,
     BackendDirectory,
-    Standing,
 )
 from currantshore.internal.steering.flowrecords import (
+    OPENING_LIFE_S,
     FlowRecord,
     FlowRecords,
     Segment,
 )
-from currantshore.internal.steering.silence import Health, SilenceWatch
+from currantshore.internal.steering.lateopenings import (
+    LATE_OPENING_S,
+    LateOpenings,
+)
+from currantshore.internal.steering.silence import Health
 from currantshore.internal.steering.unknowntokens import UnknownTokens
-
-# An opening is sent to a second server when nothing has come back by then:
-# several times the round trip over two links between zones and to the caller.
-_LATE_OPENING_S: Final = 0.045
-
-# Copies of openings for each opening, and the copies of a first burst: a
-# server that is down gets a quarter of the openings of a small zone.
-_COPY_RATIO: Final = 0.25
-_COPY_BURST: Final = 20.0
-
-# A caller gives an opening up after 1.4 s.
-_OPENING_LIFE_S: Final = 1.5
+from currantshore.internal.steering.watching import BackendWatches
 
 # A tick that comes this much late was held up, and so were the answers that
 # wait in the socket: nobody is judged by them.
@@ -96,36 +88,34 @@
     __slots__ = (
         '_chooser',
         '_cleaned_s',
-        '_copies_left',
         '_current_until_s',
-        '_due',
         '_former',
         '_gate',
         '_held_until_s',
+        '_late',
         '_rng',
         '_ticked_s',
         '_unknown',
-        '_watches',
         'directory',
         'records',
         'table',
+        'watches',
     )
 
     def __init__(self, zone: str, rng: random.Random) -> None:
         """Prefer ``from_config``."""
         self._rng = rng
         self._chooser = BackendChooser(zone, rng)
-        self._copies_left = _COPY_BURST
-        self._due: collections.deque[tuple[float, bytes]] = collections.deque()
+        self._late = LateOpenings()
         self._former: dict[bytes, frozenset[str]] = {}
         self._gate = OpeningGate(rng)
         self._held_until_s = 0.0
         self._cleaned_s = 0.0
         self._ticked_s = 0.0
         self._unknown = UnknownTokens()
-        self._watches: dict[str, SilenceWatch] = {}
         self.directory = BackendDirectory(zone)
         self.records = FlowRecords()
+        self.watches = BackendWatches(self.directory, self.records)
         self.table = RoutingTable(0, {}, 0)
         # Until when the store or a peer vouches for what is held. After that,
         # as at a start, what is missing is no reason to refuse.
@@ -199,7 +189,7 @@
             return self._place(flow_key, route, datagram, now_s, is_copy)
         if not record.is_open:
             return self._place_copy(flow_key, record, route, now_s)
-        if now_s - record.seen_s < _OPENING_LIFE_S:
+        if now_s - record.seen_s < OPENING_LIFE_S:
             # A copy that was overtaken by the flow's own packets.
             return record.backend
         return self._place(flow_key, route, datagram, now_s, is_copy)
@@ -237,25 +227,11 @@
             return backend
         # A verdict is as old as the last tick: this host may have stood still.
         is_judged = now_s - self._ticked_s < _STALL_S
-        if is_judged and self.health(backend) is Health.DEAD:
+        if is_judged and self.watches.health(backend) is Health.DEAD:
             self.records.drop(flow_key)
             return FlowRefusal.BACKEND_SERVER_GONE
         return backend
 
-    def control_of(self, backend: Backend) -> Backend | None:
-        """Return another server, the one that answered a flow last."""
-        return max(
-            (
-                other
-                for other in self.directory.all_backends()
-                if other is not backend
-                and other.standing is not Standing.LAPSED
-                and self.health(other) is Health.ANSWERING
-            ),
-            key=lambda other: other.last_answer_s,
-            default=None,
-        )
-
     def on_checked(
         self,
         backend: Backend,
@@ -269,7 +245,7 @@
         ``is_control_reachable`` tells whether another server was reached at
         the same time; without that, a failed attempt shows nothing.
         """
-        watch = self._watch(backend)
+        watch = self.watches.watch(backend)
         if not is_reachable and not is_control_reachable:
             watch.note_no_check(now_s)
             return []
@@ -287,14 +263,14 @@
     def tick(self, now_s: float) -> TickActions:
         """Look at what is due; call it every ``TICK_INTERVAL_S``."""
         if self._is_held_up(now_s):
-            self._held_until_s = now_s + _LATE_OPENING_S
+            self._held_until_s = now_s + LATE_OPENING_S
         if now_s - self._ticked_s > _STALL_S:
-            for watch in self._watches.values():
-                watch.clear()
+            self.watches.clear()
         self._ticked_s = now_s
         actions = TickActions()
         if now_s >= self._held_until_s:
-            actions.checks = self._judge(now_s)
+            self.records.expire_openings(now_s)
+            actions.checks = self.watches.judge(now_s, LATE_OPENING_S)
             actions.copies = self._copy_late(now_s)
         self.records.sweep(self.table.idle_timeout_s, now_s)
         if now_s - self._cleaned_s > _CLEAN_INTERVAL_S:
@@ -302,11 +278,6 @@
             self._forget_gone(now_s)
         return actions
 
-    def health(self, backend: Backend) -> Health:
-        """Tell what flows have shown of ``backend``."""
-        watch = self._watches.get(backend.entry.backend_id)
-        return Health.ANSWERING if watch is None else watch.health
-
     def _place(
         self,
         flow_key: bytes,
@@ -315,7 +286,7 @@
         now_s: float,
         is_copy: bool,
     ) -> Decision:
-        self._copies_left = min(self._copies_left + _COPY_RATIO, _COPY_BURST)
+        self._late.earn()
         backend = self._choose(route, (), now_s)
         if backend is None:
             return self._refuse_unknown(FlowRefusal.NO_BACKEND_SERVER, now_s)
@@ -325,7 +296,7 @@
         record = self.records.begin(flow_key, backend, now_s)
         record.address_key = route.address_key
         record.datagram = datagram
-        self._due.append((now_s + _LATE_OPENING_S, flow_key))
+        self._late.add(flow_key, now_s)
         return backend
 
     def _place_copy(
@@ -436,19 +407,6 @@
         record.backend = backend
         return record
 
-    def _judge(self, now_s: float) -> list[Backend]:
-        checks: list[Backend] = []
-        for backend in self.directory.all_backends():
-            _expire_openings(backend, now_s)
-            watch = self._watches.get(backend.entry.backend_id)
-            if watch is None:
-                if not backend.openings and not backend.asked:
-                    continue
-                watch = self._watch(backend)
-            if watch.judge(backend, now_s, _LATE_OPENING_S):
-                checks.append(backend)
-        return checks
-
     def _forget_gone(self, now_s: float) -> None:
         self.directory.forget_old(now_s)
         self._gate.forget_gone(self.table.routes, now_s)
@@ -456,14 +414,11 @@
             backend.entry.backend_id
             for backend in self.directory.all_backends()
         }
-        for backend_id in self._watches.keys() - known:
-            self._watches.pop(backend_id)
+        self.watches.forget_gone(known)
 
     def _copy_late(self, now_s: float) -> list[OpeningCopy]:
         copies: list[OpeningCopy] = []
-        due = self._due
-        while due and due[0][0] <= now_s:
-            _, flow_key = due.popleft()
+        for flow_key in self._late.take_late(now_s):
             copy = self._copy_opening(flow_key, now_s)
             if copy is not None:
                 copies.append(copy)
@@ -477,7 +432,7 @@
         record = self.records.find(flow_key)
         if record is None or record.is_open or len(record.tried) > 1:
             return None
-        if self._copies_left < 1:
+        if not self._late.may_copy():
             return None
         route = self.table.routes.get(record.address_key)
         if route is None:
@@ -485,15 +440,10 @@
         backend = self._choose(route, record.tried, now_s)
         if backend is None:
             return None
-        self._copies_left -= 1
+        self._late.spend()
         self.records.try_again(flow_key, record, backend, now_s)
         return OpeningCopy(record.datagram, backend)
 
-    def _watch(self, backend: Backend) -> SilenceWatch:
-        return self._watches.setdefault(
-            backend.entry.backend_id, SilenceWatch()
-        )
-
 
 def _belongs(segment: Segment, record: FlowRecord) -> bool:
     if record.backend.token == segment.token:
@@ -501,12 +451,3 @@
     if not record.is_open or not record.has_tried(segment.token):
         return False
     return record.is_near(segment.acknowledged, _REACH_BYTES)
-
-
-def _expire_openings(backend: Backend, now_s: float) -> None:
-    openings = backend.openings
-    while openings:
-        flow_key, opened_s = next(iter(openings.items()))
-        if now_s - opened_s < _OPENING_LIFE_S:
-            return
-        openings.pop(flow_key)
--- a/src/currantshore/internal/steering/directory.py
+++ b/src/currantshore/internal/steering/directory.py
@@ -89,9 +89,20 @@
     nothing, in whatever order the store and peers deliver them. A server that
     has gone keeps its token for a minute, so that packets of its last flows
     still reach it; the platform's ids keep them from any other server.
+
+    A change costs by the servers that it names. All servers are sorted anew
+    only when two ids share a token, a server moves, or old ones are dropped.
     """
 
-    __slots__ = ('_by_id', '_by_token', '_far', '_near', '_zone', 'revision')
+    __slots__ = (
+        '_by_id',
+        '_by_token',
+        '_far',
+        '_is_index_stale',
+        '_near',
+        '_zone',
+        'revision',
+    )
 
     def __init__(self, zone: str) -> None:
         """Start empty, for a host of ``zone``."""
@@ -100,6 +111,7 @@
         self._by_token: dict[int, Backend] = {}
         self._near: dict[str, list[Backend]] = {}
         self._far: dict[str, list[Backend]] = {}
+        self._is_index_stale = False
         self.revision = 0
 
     def get(self, backend_id: str) -> Backend:
@@ -191,8 +203,7 @@
     def _take(self, entry: BackendEntry, now_s: float) -> bool:
         backend = self._by_id.get(entry.backend_id)
         if backend is None:
-            backend = Backend(entry, now_s)
-            self._by_id[entry.backend_id] = backend
+            self._add(Backend(entry, now_s))
             return True
         if backend.entry.revision >= entry.revision:
             return False
@@ -202,6 +213,8 @@
             backend.openings.clear()
             backend.last_answer_s = now_s
             backend.suspect_until_s = 0
+        if _place(backend.entry) != _place(entry):
+            self._is_index_stale = True
         backend.update(entry, now_s)
         return True
 
@@ -218,11 +231,26 @@
         backend.lapsed_s = now_s
         return True
 
+    def _add(self, backend: Backend) -> None:
+        self._by_id[backend.entry.backend_id] = backend
+        holder = self._by_token.setdefault(backend.token, backend)
+        if holder is backend:
+            self._list(backend)
+        else:
+            self._is_index_stale = True
+
+    def _list(self, backend: Backend) -> None:
+        is_near = backend.entry.zone == self._zone
+        services = self._near if is_near else self._far
+        services.setdefault(backend.entry.service_id, []).append(backend)
+
     def _finish(self, revision: int) -> None:
         self.revision = max(self.revision, revision)
-        self._index()
+        if self._is_index_stale:
+            self._index()
 
     def _index(self) -> None:
+        self._is_index_stale = False
         self._near = {}
         self._far = {}
         # In order of id, so that every host gives a token that two ids share
@@ -231,8 +259,9 @@
         for _, backend in sorted(self._by_id.items()):
             holder = self._by_token.setdefault(backend.token, backend)
             backend.is_shadowed = holder is not backend
-            if backend.is_shadowed:
-                continue
-            is_near = backend.entry.zone == self._zone
-            services = self._near if is_near else self._far
-            services.setdefault(backend.entry.service_id, []).append(backend)
+            if not backend.is_shadowed:
+                self._list(backend)
+
+
+def _place(entry: BackendEntry) -> tuple[str, str]:
+    return entry.zone, entry.service_id
--- a/src/currantshore/internal/steering/flowrecords.py
+++ b/src/currantshore/internal/steering/flowrecords.py
@@ -18,6 +18,12 @@
 # Weight of the newest sample in a server's mean latency: about the last ten.
 _LATENCY_WEIGHT: Final = 0.1
 
+# Servers that answered last, from which a control is taken when one is silent.
+_MAX_ANSWERED: Final = 8
+
+# A caller gives an opening up after 1.4 s.
+OPENING_LIFE_S: Final = 1.5
+
 # Sequence and acknowledgement numbers are 32 bits wide and wrap.
 _NUMBER_MASK: Final = 0xFFFFFFFF
 _HALF_RANGE: Final = 0x80000000
@@ -87,12 +93,17 @@
 class FlowRecords:
     """Records by flow key, and the evidence that they give on servers."""
 
-    __slots__ = ('_records', '_sweep', 'latencies')
+    __slots__ = ('_records', '_sweep', 'answered', 'busy', 'latencies')
 
     def __init__(self) -> None:
         """Start without flows."""
         self._records: dict[bytes, FlowRecord] = {}
         self._sweep: Iterator[bytes] = iter(())
+        # Servers in order of their newest answer; few are kept.
+        self.answered: dict[Backend, None] = {}
+        # Servers with an opening or a request that they have not answered;
+        # the watches take out those that are idle.
+        self.busy: dict[Backend, None] = {}
         self.latencies = {
             'opening': LatencyCounts(),
             'first_answer': LatencyCounts(),
@@ -116,6 +127,7 @@
         record = FlowRecord(backend, now_s)
         self._records[flow_key] = record
         backend.openings[flow_key] = now_s
+        self.busy[backend] = None
         return record
 
     def try_again(
@@ -130,6 +142,7 @@
         record.backend = backend
         record.seen_s = now_s
         backend.openings[flow_key] = now_s
+        self.busy[backend] = None
 
     def join(
         self,
@@ -166,7 +179,7 @@
             self._open(flow_key, record, segment, now_s)
         elif _is_later(segment.acknowledged, record.acknowledged):
             record.acknowledged = segment.acknowledged
-            backend.last_answer_s = now_s
+            self._note_alive(backend, now_s)
             asked_s = backend.asked.pop(flow_key, None)
             if asked_s is not None:
                 answered_in_s = now_s - asked_s
@@ -205,6 +218,16 @@
                 return
         self._sweep = iter(tuple(self._records))
 
+    def expire_openings(self, now_s: float) -> None:
+        """Forget openings that their callers have given up."""
+        for backend in self.busy:
+            openings = backend.openings
+            while openings:
+                flow_key, opened_s = next(iter(openings.items()))
+                if now_s - opened_s < OPENING_LIFE_S:
+                    break
+                openings.pop(flow_key)
+
     def in_progress(self, backend: Backend) -> Sequence[tuple[bytes, int]]:
         """Return (flow key, acknowledged) of requests without an answer."""
         return [
@@ -229,7 +252,7 @@
         record.acknowledged = segment.acknowledged
         record.sequence = segment.sequence
         record.backend.flow_count += 1
-        record.backend.last_answer_s = now_s
+        self._note_alive(record.backend, now_s)
 
     def _note_request(
         self,
@@ -241,6 +264,7 @@
         backend = record.backend
         if flow_key not in backend.asked:
             backend.asked[flow_key] = now_s
+            self.busy[backend] = None
             record.asked_packets = 0
             record.is_repeated = False
         elif not _is_later(segment.sequence, record.sequence):
@@ -249,7 +273,15 @@
             record.sequence = segment.sequence
             record.asked_packets += 1
             if record.asked_packets > _WINDOW_PACKETS:
-                backend.last_answer_s = now_s
+                self._note_alive(backend, now_s)
+
+    def _note_alive(self, backend: Backend, now_s: float) -> None:
+        backend.last_answer_s = now_s
+        answered = self.answered
+        answered.pop(backend, None)
+        answered[backend] = None
+        if len(answered) > _MAX_ANSWERED:
+            answered.pop(next(iter(answered)))
 
 
 def _is_later(number: int, than: int) -> bool:
--- /dev/null
+++ b/src/currantshore/internal/steering/lateopenings.py
@@ -0,0 +1,54 @@
+"""When an opening goes to a second server as well.
+
+The load that this answers: servers that have just died, whose entries stay for
+three heartbeats, and packets that are lost. A caller repeats its opening only
+after 200 ms; the copy goes out as soon as the first server is overdue. The
+budget keeps a service that is late as a whole from being sent everything
+twice.
+"""
+
+import collections
+from collections.abc import Iterator
+from typing import Final
+
+# An opening is sent to a second server when nothing has come back by then:
+# several times the round trip over two links between zones and to the caller.
+LATE_OPENING_S: Final = 0.045
+
+# Copies of openings for each opening, and the copies of a first burst: a
+# server that is down gets a quarter of the openings of a small zone.
+_COPY_RATIO: Final = 0.25
+_COPY_BURST: Final = 20.0
+
+
+class LateOpenings:
+    """Openings in the order in which they become late, and the budget."""
+
+    __slots__ = ('_due', '_left')
+
+    def __init__(self) -> None:
+        """Start with the budget of a first burst."""
+        self._due: collections.deque[tuple[float, bytes]] = collections.deque()
+        self._left = _COPY_BURST
+
+    def earn(self) -> None:
+        """Add an opening's part to the budget of copies."""
+        self._left = min(self._left + _COPY_RATIO, _COPY_BURST)
+
+    def add(self, flow_key: bytes, now_s: float) -> None:
+        """Remember an opening that was sent now."""
+        self._due.append((now_s + LATE_OPENING_S, flow_key))
+
+    def take_late(self, now_s: float) -> Iterator[bytes]:
+        """Yield, and forget, the flows whose openings are late."""
+        due = self._due
+        while due and due[0][0] <= now_s:
+            yield due.popleft()[1]
+
+    def may_copy(self) -> bool:
+        """Tell whether the budget has a copy left."""
+        return self._left >= 1
+
+    def spend(self) -> None:
+        """Take a copy from the budget."""
+        self._left -= 1
--- /dev/null
+++ b/tests/cover/test_watching.py
@@ -0,0 +1,114 @@
+"""What a tick costs, and which server is the control of a trial."""
+
+import testtools
+
+from currantshore.internal.steering.silence import Health
+from tests.cover.steering_kit import (
+    ADDRESS,
+    OTHER_SERVICE,
+    SERVICE,
+    make_core,
+    make_entry,
+    make_segment,
+    number_of,
+)
+
+_SERVERS = 3000
+
+
+class TickCostTests(testtools.TestCase):
+    """Guards against a tick that costs by all servers that are known."""
+
+    def setUp(self):
+        super().setUp()
+        self.core = make_core([make_entry(one + 1) for one in range(_SERVERS)])
+
+    def busy(self):
+        return {number_of(backend) for backend in self.core.records.busy}
+
+    def test_servers_that_have_answered_are_looked_at_no_more(self):
+        for number in range(1, _SERVERS + 1):
+            key = b'flow-%d' % number
+            asked = make_segment(number, size=9)
+            self.core.on_segment(key, ADDRESS, asked, 100.0)
+            if number == 7:
+                continue
+            answered = make_segment(number, 10, 500)
+            self.core.on_segment(key, ADDRESS, answered, 100.01)
+        # A host that has just started judges nobody for 45 ms.
+        for step in range(1, 5):
+            self.core.tick(100.0 + step * 0.015)
+        self.assertEqual({7}, self.busy())
+
+    def test_a_suspected_server_is_looked_at_until_it_answers(self):
+        backend = self.core.on_opening(b'flow', ADDRESS, b'syn', 100.0)
+        checks = []
+        for step in range(1, 8):
+            checks.extend(self.core.tick(100.0 + step * 0.015).checks)
+        self.assertIn(backend, checks)
+        self.core.records.drop(b'flow')
+        health = self.core.watches.health
+        self.assertIs(Health.SUSPECT, health(backend))
+        self.core.tick(100.12)
+        self.assertIs(Health.ANSWERING, health(backend))
+        self.core.tick(100.14)
+        self.assertNotIn(number_of(backend), self.busy())
+
+
+class ControlTests(testtools.TestCase):
+    """Guards against a trial whose control is a server nobody has heard."""
+
+    def setUp(self):
+        super().setUp()
+        self.core = make_core([make_entry(one) for one in (1, 2, 3)])
+        self.backends = {
+            number_of(one): one for one in self.core.directory.all_backends()
+        }
+
+    def answer(self, number, now_s):
+        key = b'flow-%d-%d' % (number, now_s * 1000)
+        self.core.on_segment(key, ADDRESS, make_segment(number), now_s)
+        answered = make_segment(number, 1, 500)
+        self.core.on_segment(key, ADDRESS, answered, now_s)
+
+    def control_of(self, number):
+        found = self.core.watches.control_of(self.backends[number])
+        return found and number_of(found)
+
+    def test_the_server_that_answered_last_is_the_control(self):
+        self.answer(1, 100.1)
+        self.answer(2, 100.2)
+        self.assertEqual(2, self.control_of(3))
+        self.assertEqual(1, self.control_of(2))
+
+    def test_a_server_that_has_gone_is_no_control(self):
+        self.answer(1, 100.1)
+        self.answer(2, 100.2)
+        self.core.list_backends([make_entry(1), make_entry(3)], 5, 100.3)
+        self.assertEqual(1, self.control_of(3))
+
+    def test_without_any_answer_some_other_server_is_the_control(self):
+        self.assertIn(self.control_of(3), {1, 2})
+
+    def test_a_lone_server_has_no_control(self):
+        core = make_core([make_entry(1)])
+        (backend,) = core.directory.all_backends()
+        self.assertIsNone(core.watches.control_of(backend))
+
+
+class IndexTests(testtools.TestCase):
+    """Guards against a server that stays listed where it is no longer."""
+
+    def test_a_server_of_another_service_or_zone_moves(self):
+        core = make_core([make_entry(1), make_entry(2)])
+        moved = make_entry(1, 2, OTHER_SERVICE, 'eastside')
+        core.change_backends([moved], 2, 100.0)
+        near = [number_of(one) for one in core.directory.near(SERVICE)]
+        far = [number_of(one) for one in core.directory.far(OTHER_SERVICE)]
+        self.assertEqual(([2], [1]), (near, far))
+
+    def test_a_server_is_listed_once_however_often_it_changes(self):
+        core = make_core([make_entry(1)])
+        for revision in range(2, 6):
+            core.change_backends([make_entry(1, revision)], revision, 100.0)
+        self.assertEqual(1, len(core.directory.near(SERVICE)))
