Start with the store's cheap listing and make sure of it once

Ruled out: taking the first list from other hosts; three seeds of 20 Mbit/s would serve 192 hosts, and a host whose seeds are stale would wait in vain. Change: the first listing is the one that may be old, at a tenth of the price. A reader's first watch returns at once and confirms it; until then the host vouches for nothing, and it is not ready until someone vouches for what it holds, or for 1 s. A listing whose history the store has forgotten is followed by one that is not old. Tests: OldListingTests (a server that left before the start and one that drains), against the stand-in, which can now answer with old data.

--- a/src/currantshore/internal/entry/host.py
+++ b/src/currantshore/internal/entry/host.py
@@ -42,6 +42,10 @@
 # Left of the platform's grace for the end of the process itself.
 _STOP_RESERVE_S: Final = 1.0
 
+# A host that holds everything waits this long for someone to vouch for it: two
+# rounds of digests. While the store is away nobody does.
+_CONFIRM_PATIENCE_S: Final = 1.0
+
 _STOP_CHECK_S: Final = 0.05
 _RESTART_DELAY_S: Final = 0.2
 
@@ -56,6 +60,7 @@
 
     __slots__ = (
         '_checker',
+        '_complete_s',
         '_core',
         '_follower',
         '_forwarder',
@@ -85,6 +90,7 @@
         self._is_leaving = False
         self._is_loading_metrics = False
         self._was_ready = False
+        self._complete_s = 0.0
         self._render_metrics: Callable[[], bytes] | None = None
         self._servers: list[PageServer] = []
         self._tasks: set[asyncio.Task[None]] = set()
@@ -103,8 +109,13 @@
             self._core,
         )
         self._holdings = Holdings(self._core, self._mirror, log)
+        seeds = {one.host for one in settings.seed_addresses}
         self._follower = StoreFollower(
-            self._holdings, settings.store_address, log, random.Random(seed)
+            self._holdings,
+            settings.store_address,
+            log,
+            random.Random(seed),
+            is_first=not seeds or settings.packet_address.host in seeds,
         )
 
     async def start(self) -> None:
@@ -186,6 +197,7 @@
             actions = self._mirror.tick(
                 self._loop.time(),
                 is_served=self._follower.is_served(),
+                is_listed=self._follower.is_listed(),
                 is_leaving=self._is_leaving,
             )
             self._peering.send_all(actions.sendings)
@@ -208,7 +220,7 @@
         return quiet_s >= _QUIET_S
 
     def _tell_ready(self) -> Page:
-        is_ready = self._holdings.is_complete() and not self._is_leaving
+        is_ready = self._may_be_ready() and not self._is_leaving
         if is_ready and not self._was_ready:
             self._was_ready = True
             self._log.write(
@@ -217,6 +229,23 @@
         status = _OK if is_ready else _UNAVAILABLE
         return Page(status, 'application/json', b'{}')
 
+    def _may_be_ready(self) -> bool:
+        """Tell whether this host may be sent packets.
+
+        What a host lists at its start may be seconds old and name servers that
+        have left; it waits to be told that it has what the store has, unless
+        nobody can tell it.
+        """
+        if self._was_ready:
+            return True
+        if not self._holdings.is_complete():
+            return False
+        now_s = self._loop.time()
+        self._complete_s = self._complete_s or now_s
+        if now_s - self._complete_s >= _CONFIRM_PATIENCE_S:
+            return True
+        return self._core.is_current(now_s)
+
     def _show_metrics(self) -> Page:
         if self._render_metrics is None:
             # Most hosts are never scraped, and the library takes 5 MB.
--- a/src/currantshore/platform/store.py
+++ b/src/currantshore/platform/store.py
@@ -50,9 +50,18 @@
         """Return a client of the store at ``endpoint``."""
         return cls(HttpConnection.from_endpoint(endpoint))
 
-    async def list_backends(self, after: str, timeout_s: float) -> Page:
-        """Return the page of backend servers that follows name ``after``."""
-        query = f'?after={after}' if after else ''
+    async def list_backends(
+        self,
+        after: str,
+        timeout_s: float,
+        *,
+        may_be_old: bool = False,
+    ) -> Page:
+        """Return the page of backend servers that follows name ``after``.
+
+        A listing that ``may_be_old`` costs a tenth and may be seconds old.
+        """
+        query = _list_query(after, may_be_old=may_be_old)
         return await self._get(
             f'{_BACKENDS}{query}', timeout_s, decode_backend_page
         )
@@ -70,10 +79,16 @@
             decode_backend_changes,
         )
 
-    async def read_configuration(self, timeout_s: float) -> Configured:
-        """Return the newest configuration."""
+    async def read_configuration(
+        self,
+        timeout_s: float,
+        *,
+        may_be_old: bool = False,
+    ) -> Configured:
+        """Return the newest configuration, or one that ``may_be_old``."""
+        query = _list_query('', may_be_old=may_be_old)
         return await self._get(
-            _CONFIGURATION, timeout_s, decode_configuration_page
+            f'{_CONFIGURATION}{query}', timeout_s, decode_configuration_page
         )
 
     async def watch_configuration(
@@ -111,6 +126,15 @@
             raise AnswerUnreadableError(f'{target}: {error}') from error
 
 
+def _list_query(after: str, *, may_be_old: bool) -> str:
+    parts = []
+    if after:
+        parts.append(f'after={after}')
+    if may_be_old:
+        parts.append('stale-ok=1')
+    return f'?{"&".join(parts)}' if parts else ''
+
+
 def _watch_target(path: str, revision: int, wait_s: float) -> str:
     wait_ms = round(wait_s * _MILLISECONDS)
     return f'{path}?watch={revision}&wait-ms={wait_ms}'
--- a/standins/objectstore.py
+++ b/standins/objectstore.py
@@ -10,6 +10,7 @@
 import argparse
 import asyncio
 import collections
+import copy
 import signal
 from typing import Any, Final, TypeAlias
 
@@ -63,6 +64,7 @@
             maxlen=history
         )
         self._forgotten = 0
+        self._old: ObjectStore | None = None
         self._changed = asyncio.Condition()
 
     async def put(self, kind: str, name: str, spec: Any) -> int:
@@ -117,6 +119,19 @@
             'as-of': self.revision,
         }
 
+    def old_page(self, kind: str, after: str) -> dict[str, Any]:
+        """Return the page as it was when ``age`` was called, if it was."""
+        if self._old is None:
+            return self.page(kind, after)
+        return self._old.page(kind, after)
+
+    def age(self) -> None:
+        """Answer calls that take old data as of now from here on."""
+        old = ObjectStore(self._page_size)
+        old.revision = self.revision
+        old._objects = copy.deepcopy(self._objects)
+        self._old = old
+
     async def watch(
         self,
         kind: str,
@@ -207,9 +222,11 @@
     async def _list(self, request: web.Request) -> web.Response:
         kind = request.match_info['kind']
         if 'watch' not in request.query:
-            return web.json_response(
-                self.store.page(kind, request.query.get('after', ''))
-            )
+            after = request.query.get('after', '')
+            if 'stale-ok' in request.query:
+                self.store.calls['old'] += 1
+                return web.json_response(self.store.old_page(kind, after))
+            return web.json_response(self.store.page(kind, after))
         wait_ms = min(int(request.query.get('wait-ms', 0)), _MAX_WAIT_MS)
         revision = int(request.query['watch'])
         seen = await self.store.watch(kind, revision, wait_ms)
--- a/tests/contract/test_following.py
+++ b/tests/contract/test_following.py
@@ -8,6 +8,7 @@
 
 from currantshore.internal.entry.decisionlog import DecisionLog
 from currantshore.internal.entry.following import StoreFollower
+from currantshore.internal.steering.catalog import BackendRemoved
 from currantshore.wire import Endpoint
 from standins.objectstore import Faults, ObjectStore, StoreServer
 
@@ -38,24 +39,32 @@
         self.unreadable = tuple(faults)
 
     def take_listing(self, entries, faults, revision):
-        self.entries = entries
+        self.entries = {entry.backend_id: entry for entry in entries}
 
     def take_changes(self, changes, faults):
-        self.changes = changes
+        for change in changes:
+            if isinstance(change, BackendRemoved):
+                self.entries.pop(change.backend_id, None)
+            else:
+                self.entries[change.backend_id] = change
 
 
 class FollowerKit(testtools.TestCase):
     """Plays a follower that is served, against the stand-in."""
 
+    async def prepare(self, store):
+        """Change the store before the follower starts."""
+
     def play(self, scenario):
         async def run():
-            store = ObjectStore()
+            store = ObjectStore(page_size=2)
             spec = {
                 'version': 1,
                 'routes': [],
                 'limits': {'idle-timeout-ms': 15000},
             }
             await store.put('config', 'main', spec)
+            await self.prepare(store)
             server = StoreServer(store)
             await server.start()
             self.holdings = FakeHoldings()
@@ -168,3 +177,57 @@
             self.assertFalse(self.follower.is_served())
 
         self.play(scenario)
+
+
+class OldListingTests(FollowerKit):
+    """Guards against a host that starts with servers that have left.
+
+    The cheap listing of a start may be seconds old.
+    """
+
+    async def prepare(self, store):
+        spec = {
+            'service': 'dockwatch',
+            'address': '10.0.0.1:80',
+            'zone': 'harbor',
+            'state': 'ready',
+            'slots': 2,
+        }
+        for number in range(1, 6):
+            await store.put('servers', f'i-{number}', spec)
+        store.age()
+        await store.remove('servers', 'i-2')
+        await store.put('servers', 'i-3', {**spec, 'state': 'draining'})
+
+    def test_a_host_is_served_only_with_what_the_store_holds_now(self):
+        async def scenario(_):
+            held = self.holdings.entries
+            self.assertEqual({'i-1', 'i-3', 'i-4', 'i-5'}, set(held))
+            self.assertTrue(held['i-3'].is_draining)
+
+        self.play(scenario)
+
+    def test_the_first_lists_are_the_cheap_ones(self):
+        async def scenario(store):
+            # Three pages of servers and one of the configuration.
+            self.assertEqual(4, store.calls['old'])
+
+        self.play(scenario)
+
+    def test_an_old_listing_whose_history_has_gone_is_followed_by_a_new_one(
+        self,
+    ):
+        async def scenario(store):
+            self.assertEqual(
+                {'i-1', 'i-3', 'i-4', 'i-5'}, set(self.holdings.entries)
+            )
+            self.assertEqual(4, store.calls['old'])
+
+        prepare = self.prepare
+
+        async def prepare_and_forget(store):
+            await prepare(store)
+            store.forget_history()
+
+        self.prepare = prepare_and_forget
+        self.play(scenario)
