Weigh open flows by what they were seen to do; forward before closing

The weight of an open flow when servers are compared (0.06) was read off the two first sites; on a site whose flows ask more or less often, or open one flow a request, it is another. And a stopping host closed its socket with what had arrived last still in it, openings that the caller then sent again 200 ms later. Ruled out: weighing by a flow's age or rate of packets; neither tells whether it has a request in progress. A flow whose request is in progress is counted once and not twice. Forwarder.close reads and forwards first.

--- a/src/currantshore/internal/entry/forwarding.py
+++ b/src/currantshore/internal/entry/forwarding.py
@@ -26,6 +26,10 @@
 
 BATCH_LIMIT: Final = 64
 
+# A stopping host forwards what its full socket buffer may hold: 1 MB of
+# openings.
+_LAST_BATCHES: Final = 512
+
 # Head and data of the largest packet, and one byte more to notice a larger one.
 _READ_SIZE_BYTES: Final = packets.HEAD_SIZE_BYTES + 1200 + 1
 
@@ -103,19 +107,22 @@
             )
 
     def close(self) -> None:
-        """Stop reading and close the socket."""
+        """Forward what has arrived, and close the socket."""
         self._loop.remove_reader(self._socket.fileno())
+        for _ in range(_LAST_BATCHES):
+            if not self.read_batch():
+                break
         self._socket.close()
 
-    def read_batch(self) -> None:
-        """Read and forward what waits in the socket, up to a batch."""
+    def read_batch(self) -> bool:
+        """Forward a batch of what waits; tell whether more may wait."""
         receive = self._socket.recv
         now_s = self._loop.time()
         for _ in range(BATCH_LIMIT):
             try:
                 datagram = receive(_READ_SIZE_BYTES)
             except BlockingIOError:
-                return
+                return False
             except OSError:
                 # An earlier send was refused; the next read goes on.
                 self.counts['socket_errors'] += 1
@@ -125,6 +132,7 @@
                 self._forward(datagram, now_s)
             else:
                 self.counts['malformed'] += 1
+        return True
 
     def _forward(self, datagram: bytes, now_s: float) -> None:
         key = packets.flow_key(datagram)
--- a/src/currantshore/internal/steering/choosing.py
+++ b/src/currantshore/internal/steering/choosing.py
@@ -3,15 +3,16 @@
 The load that this answers: bursts of new flows on a few servers of several
 slots each, seen by hosts that each know only a part of the requests in
 progress. A host adds the requests of its own flows that have no answer yet
-and the part of open flows that is usually at work. It sends to the server with
-the least of these for each slot ("join the shortest queue", with cost for a
-zone that is not its own).
+and, for the other open flows, the share that it has seen at work. It sends to
+the server with the least of these for each slot ("join the shortest queue",
+with cost for a zone that is not its own).
 """
 
 import random
 from collections.abc import Collection, Sequence
 from typing import Final
 
+from currantshore.internal.steering.busyshares import BusyShares
 from currantshore.internal.steering.catalog import RequestKind
 from currantshore.internal.steering.directory import (
     LAPSE_GRACE_S,
@@ -19,10 +20,6 @@
     Standing,
 )
 
-# Share of the time for which an open flow has a request in progress: about
-# 0.06 on both users' sites (requests a second of a long flow times work).
-_FLOW_BUSY_RATIO: Final = 0.06
-
 # A cold server takes 1.6 times as long for the same work on both users' sites.
 _COLD_SLOWNESS: Final = 1.6
 
@@ -50,10 +47,16 @@
 class BackendChooser:
     """Chooses by load; ties are broken at random."""
 
-    __slots__ = ('_rng', '_zone')
+    __slots__ = ('_busy_shares', '_rng', '_zone')
 
-    def __init__(self, zone: str, rng: random.Random) -> None:
-        """Choose for a host of ``zone``."""
+    def __init__(
+        self,
+        zone: str,
+        rng: random.Random,
+        busy_shares: BusyShares,
+    ) -> None:
+        """Choose for a host of ``zone``, by what its flows have shown."""
+        self._busy_shares = busy_shares
         self._zone = zone
         self._rng = rng
 
@@ -105,11 +108,10 @@
 
     def _load(self, backend: Backend, kind: RequestKind, now_s: float) -> float:
         entry = backend.entry
-        requests = (
-            len(backend.asked)
-            + len(backend.openings)
-            + backend.flow_count * _FLOW_BUSY_RATIO
-        )
+        asked = len(backend.asked)
+        quiet_flows = max(backend.flow_count - asked, 0)
+        share = self._busy_shares.share(entry.service_id)
+        requests = asked + len(backend.openings) + quiet_flows * share
         load = requests / entry.slots
         if now_s < backend.warm_at_s:
             load = (load + 1 / entry.slots) * _COLD_SLOWNESS
--- a/src/currantshore/internal/steering/core.py
+++ b/src/currantshore/internal/steering/core.py
@@ -105,7 +105,6 @@
     def __init__(self, zone: str, rng: random.Random) -> None:
         """Prefer ``from_config``."""
         self._rng = rng
-        self._chooser = BackendChooser(zone, rng)
         self._late = LateOpenings()
         self._former: dict[bytes, frozenset[str]] = {}
         self._gate = OpeningGate(rng)
@@ -115,6 +114,7 @@
         self._unknown = UnknownTokens()
         self.directory = BackendDirectory(zone)
         self.records = FlowRecords()
+        self._chooser = BackendChooser(zone, rng, self.records.busy_shares)
         self.watches = BackendWatches(self.directory, self.records)
         self.table = RoutingTable(0, {}, 0)
         # Until when the store or a peer vouches for what is held. After that,
--- a/src/currantshore/internal/steering/flowrecords.py
+++ b/src/currantshore/internal/steering/flowrecords.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator, Sequence
 from typing import Final, NamedTuple
 
+from currantshore.internal.steering.busyshares import BusyShares
 from currantshore.internal.steering.directory import Backend
 from currantshore.internal.steering.latencies import LatencyCounts
 
@@ -93,7 +94,14 @@
 class FlowRecords:
     """Records by flow key, and the evidence that they give on servers."""
 
-    __slots__ = ('_records', '_sweep', 'answered', 'busy', 'latencies')
+    __slots__ = (
+        '_records',
+        '_sweep',
+        'answered',
+        'busy',
+        'busy_shares',
+        'latencies',
+    )
 
     def __init__(self) -> None:
         """Start without flows."""
@@ -104,6 +112,7 @@
         # Servers with an opening or a request that they have not answered;
         # the watches take out those that are idle.
         self.busy: dict[Backend, None] = {}
+        self.busy_shares = BusyShares()
         self.latencies = {
             'opening': LatencyCounts(),
             'first_answer': LatencyCounts(),
@@ -207,12 +216,18 @@
             record.backend.flow_count -= 1
 
     def sweep(self, idle_timeout_s: float, now_s: float) -> None:
-        """Forget some of the flows that have been idle for too long."""
+        """Look at some flows; forget those that were idle for too long."""
         left = _SWEEP_RECORDS
         for flow_key in self._sweep:
             record = self._records.get(flow_key)
             if record and now_s - record.seen_s > idle_timeout_s:
                 self.drop(flow_key)
+            elif record and record.is_open:
+                backend = record.backend
+                self.busy_shares.note(
+                    backend.entry.service_id,
+                    is_at_work=flow_key in backend.asked,
+                )
             left -= 1
             if not left:
                 return
