Refuse answers that belong to an earlier call or that may be half an answer

Ruled out: a connection for each call, which costs a round trip and a handshake for each page and watch.

--- a/src/currantshore/internal/httpconnection.py
+++ b/src/currantshore/internal/httpconnection.py
@@ -30,6 +30,9 @@
 
 _READ_SIZE_BYTES: Final = 65536
 
+# One of these tells where a body ends.
+_FRAMING_HEADERS: Final = frozenset((b'content-length', b'transfer-encoding'))
+
 
 class HttpAnswer(NamedTuple):
     """Status and body of one complete answer."""
@@ -122,7 +125,7 @@
 
     async def _exchange(self, request: h11.Request, body: bytes) -> HttpAnswer:
         writer = self._writer
-        if writer is None or self._has_ended():
+        if writer is None or not await self._is_idle():
             writer = await self._open()
         parts = (request, h11.Data(data=body), h11.EndOfMessage())
         sent = [self._protocol.send(part) for part in parts]
@@ -134,9 +137,20 @@
             self.close()
         return answer
 
-    def _has_ended(self) -> bool:
-        # A server may close a connection between two calls.
-        return self._reader is None or self._reader.at_eof()
+    async def _is_idle(self) -> bool:
+        """Tell whether the connection may be used for another call.
+
+        A server may close it between two calls, or send a second copy of its
+        last answer, which would be taken for the answer of the next call.
+        """
+        if self._reader is None or self._protocol.trailing_data[0]:
+            return False
+        try:
+            async with asyncio.timeout(0):
+                await self._reader.read(1)
+        except TimeoutError:
+            return True
+        return False
 
     async def _open(self) -> asyncio.StreamWriter:
         self.close()
@@ -161,6 +175,7 @@
             match await self._next_event():
                 case h11.Response() as response:
                     status = response.status_code
+                    _check_framed(response)
                 case h11.Data() as part:
                     parts.append(bytes(part.data))
                 case h11.EndOfMessage():
@@ -179,6 +194,13 @@
             )
 
 
+def _check_framed(response: h11.Response) -> None:
+    """Refuse a body that ends with its connection: half of it looks whole."""
+    names = {name for name, _ in response.headers}
+    if not names & _FRAMING_HEADERS:
+        raise h11.RemoteProtocolError('the size of the body is not told')
+
+
 def limit_silence(connected: socket.socket) -> None:
     """Let the kernel end a TCP connection whose peer does not answer."""
     options = (
--- a/src/currantshore/platform/store.py
+++ b/src/currantshore/platform/store.py
@@ -5,10 +5,12 @@
 
 from currantshore.errors import (
     AnswerUnreadableError,
+    CallFailedError,
     HistoryLostError,
     StoreRefusedError,
 )
 from currantshore.internal.httpconnection import HttpConnection
+from currantshore.internal.steering.catalog import BackendEntry
 from currantshore.platform.objects import (
     Changes,
     Configured,
@@ -62,9 +64,11 @@
         A listing that ``may_be_old`` costs a tenth and may be seconds old.
         """
         query = _list_query(after, may_be_old=may_be_old)
-        return await self._get(
-            f'{_BACKENDS}{query}', timeout_s, decode_backend_page
-        )
+        target = f'{_BACKENDS}{query}'
+        page = await self._get(target, timeout_s, decode_backend_page)
+        is_next = all(entry.backend_id > after for entry in page.entries)
+        self._check_own(target, is_own=is_next)
+        return page
 
     async def watch_backends(
         self,
@@ -73,11 +77,15 @@
         timeout_s: float,
     ) -> Changes:
         """Wait up to ``wait_s`` for changes after ``revision``."""
-        return await self._get(
-            _watch_target(_BACKENDS, revision, wait_s),
-            timeout_s,
-            decode_backend_changes,
+        target = _watch_target(_BACKENDS, revision, wait_s)
+        seen = await self._get(target, timeout_s, decode_backend_changes)
+        is_newer = all(
+            change.revision > revision
+            for change in seen.changes
+            if isinstance(change, BackendEntry)
         )
+        self._check_own(target, is_own=is_newer and seen.revision >= revision)
+        return seen
 
     async def read_configuration(
         self,
@@ -98,16 +106,22 @@
         timeout_s: float,
     ) -> Configured:
         """Wait up to ``wait_s`` for a configuration after ``revision``."""
-        return await self._get(
-            _watch_target(_CONFIGURATION, revision, wait_s),
-            timeout_s,
-            decode_configuration_changes,
-        )
+        target = _watch_target(_CONFIGURATION, revision, wait_s)
+        found = await self._get(target, timeout_s, decode_configuration_changes)
+        self._check_own(target, is_own=found.revision >= revision)
+        return found
 
     def close(self) -> None:
         """Drop the connection; the next call opens another."""
         self._connection.close()
 
+    def _check_own(self, target: str, *, is_own: bool) -> None:
+        # HTTP/1.1 numbers no answers: a late copy of an earlier one is known
+        # by what it holds.
+        if not is_own:
+            self._connection.close()
+            raise CallFailedError(f'{target}: an answer to an earlier call')
+
     async def _get(
         self,
         target: str,
--- a/tests/contract/test_http.py
+++ b/tests/contract/test_http.py
@@ -39,8 +39,31 @@
             writer.close()
 
 
-class HttpConnectionTests(testtools.TestCase):
-    """Guards against an answer taken for another, or half an answer."""
+class EchoServer:
+    """Answers each call with its target, several times."""
+
+    def __init__(self, copies, pause_s=0):
+        self.copies = copies
+        self.pause_s = pause_s
+        self.connections = 0
+
+    async def handle(self, reader, writer):
+        self.connections += 1
+        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+            while True:
+                await self.answer(reader, writer)
+
+    async def answer(self, reader, writer):
+        head = await reader.readuntil(b'\r\n\r\n')
+        target = head.split()[1]
+        reply = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s'
+        for copy in range(self.copies):
+            await asyncio.sleep(self.pause_s * copy)
+            writer.write(reply % (len(target), target))
+
+
+class HttpConnectionKit(testtools.TestCase):
+    """Calls a server of a test's own."""
 
     def play(self, raw, scenario):
         async def run():
@@ -53,12 +76,17 @@
 
         asyncio.run(run())
 
+
+class HttpConnectionTests(HttpConnectionKit):
+    """Guards against an answer taken for another, or half an answer."""
+
     def test_bad_answers_raise_one_error(self):
         bad = (
             b'',
             b'nonsense\r\n\r\n',
             b'HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf',
             b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n',
+            b'HTTP/1.1 200 OK\r\n\r\n{"half": "of',
         )
         for reply in bad:
 
@@ -94,6 +122,42 @@
         self.play(raw, scenario)
 
 
+class SecondCopyTests(HttpConnectionKit):
+    """Guards against a second copy of an answer, late, on a used connection."""
+
+    def test_a_copy_that_came_with_the_answer_is_dropped(self):
+        raw = EchoServer(copies=2)
+
+        async def scenario(connection):
+            for target in ('/first', '/second'):
+                answer = await connection.get(target, _TIMEOUT_S)
+                self.assertEqual(target.encode(), answer.body)
+
+        self.play(raw, scenario)
+
+    def test_a_copy_that_came_between_two_calls_is_dropped(self):
+        raw = EchoServer(copies=2, pause_s=0.05)
+
+        async def scenario(connection):
+            await connection.get('/first', _TIMEOUT_S)
+            await asyncio.sleep(0.1)
+            answer = await connection.get('/second', _TIMEOUT_S)
+            self.assertEqual(b'/second', answer.body)
+            self.assertEqual(2, raw.connections)
+
+        self.play(raw, scenario)
+
+    def test_a_connection_without_a_copy_is_used_again(self):
+        raw = EchoServer(copies=1)
+
+        async def scenario(connection):
+            for _ in range(3):
+                await connection.get('/one', _TIMEOUT_S)
+            self.assertEqual(1, raw.connections)
+
+        self.play(raw, scenario)
+
+
 class PageServerTests(testtools.TestCase):
     """Guards against readiness that a caller cannot read."""
 
@@ -249,3 +313,50 @@
             server.close()
 
         asyncio.run(run())
+
+
+class EarlierAnswerTests(testtools.TestCase):
+    """Guards against a late copy that takes the place of a call's answer."""
+
+    async def call(self, reply, work):
+        body = json.dumps(reply).encode()
+        head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'
+        raw = RawServer(head.encode() + body)
+        server = await asyncio.start_server(raw.handle, _LOOPBACK, 0)
+        port = server.sockets[0].getsockname()[1]
+        connection = StoreConnection.from_endpoint(Endpoint(_LOOPBACK, port))
+        with contextlib.closing(connection):
+            with testtools.ExpectedException(CallFailedError):
+                await work(connection)
+        server.close()
+
+    def entry(self, name, revision):
+        spec = {
+            'service': 'a',
+            'address': '10.0.0.1:80',
+            'zone': 'z',
+            'state': 'ready',
+            'slots': 2,
+        }
+        return {'meta': {'name': name, 'revision': revision}, 'spec': spec}
+
+    def test_a_page_that_was_read_before_is_no_next_page(self):
+        page = {'items': [self.entry('i-1', 3)], 'as-of': 9}
+        asyncio.run(
+            self.call(page, lambda one: one.list_backends('i-1', _TIMEOUT_S))
+        )
+
+    def test_changes_that_were_read_before_are_no_news(self):
+        event = {'object': self.entry('i-1', 9), 'removed': False}
+        seen = {'events': [event], 'as-of': 9}
+        asyncio.run(
+            self.call(seen, lambda one: one.watch_backends(9, 1, _TIMEOUT_S))
+        )
+
+    def test_an_answer_of_an_earlier_watch_confirms_nothing(self):
+        seen = {'events': [], 'as-of': 8}
+        asyncio.run(
+            self.call(
+                seen, lambda one: one.watch_configuration(9, 1, _TIMEOUT_S)
+            )
+        )
