--- a/src/currantshore/internal/mirror/core.py
+++ b/src/currantshore/internal/mirror/core.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable, Sequence
 from typing import Final, NamedTuple, Self
 
+from currantshore.internal.mirror.beats import BEAT_INTERVAL_S, HeardBeats
 from currantshore.internal.mirror.changelog import ChangeLog
 from currantshore.internal.mirror.earlychanges import EarlyChanges
 from currantshore.internal.mirror.messages import (
@@ -26,11 +27,7 @@
     unpack_changes,
 )
 from currantshore.internal.mirror.neighbours import Neighbours
-from currantshore.internal.mirror.readerrole import (
-    BEAT_INTERVAL_S,
-    HeardBeat,
-    ReaderRole,
-)
+from currantshore.internal.mirror.readerrole import ReaderRole
 from currantshore.internal.steering.catalog import (
     BackendEntry,
     BackendRemoved,
@@ -52,19 +49,6 @@
 _FAR_TARGETS: Final = 1
 
 _TOLD_NEIGHBOURS: Final = 2
-_MAX_BEATS: Final = 8
-
-# Beats older than this say nothing about the store any more.
-_BEAT_LIFE_S: Final = 10.0
-
-# While a served beat is this fresh, this host holds what the store holds.
-_CURRENT_S: Final = 2.5
-
-# A host whose last tick is this long ago has stood still, and beats that wait
-# in its socket are as old. It has read them all, and newer ones of two rounds,
-# this long after; until then no beat counts as fresh.
-_STALL_S: Final = 0.5
-_BACKLOG_S: Final = 1.0
 
 # A configuration is fetched from another zone only when no host of this zone
 # has told of it for this long: bytes between zones are dear, and the reader of
@@ -124,13 +108,11 @@
         '_beat_count',
         '_beats',
         '_config',
-        '_doubted_until_s',
         '_early',
         '_far_version',
         '_far_version_s',
         '_has_unspread',
         '_log',
-        '_looked_s',
         '_neighbours',
         '_rng',
         '_seeds',
@@ -152,7 +134,7 @@
         self._seeds = config.seeds
         self._log = ChangeLog()
         self._neighbours = Neighbours(config.host, self._rng)
-        self._beats: dict[str, HeardBeat] = {}
+        self._beats = HeardBeats(config.host)
         self._beat_count = 0
         # The host that told of the newest revision.
         self._ahead_host = ''
@@ -160,8 +142,6 @@
         self._asked_s = 0.0
         self._far_version = 0
         self._far_version_s = 0.0
-        self._doubted_until_s = 0.0
-        self._looked_s = 0.0
         self._early = EarlyChanges()
         self._has_unspread = False
         self._spread_s = 0.0
@@ -211,7 +191,7 @@
         now_s: float,
     ) -> MirrorActions:
         """Take a message of another host."""
-        self._notice_stall(now_s)
+        self._beats.note_time(now_s)
         match message:
             case Digest():
                 return self._on_digest(host, message, now_s)
@@ -279,11 +259,10 @@
         ``is_served`` whether it has all that the store holds now.
         """
         actions = MirrorActions()
-        self._notice_stall(now_s)
-        self._looked_s = now_s
-        self._expire_beats(now_s)
+        self._beats.note_time(now_s, is_look=True)
+        self._beats.expire(now_s)
         self.role.decide(
-            self._beats,
+            self._beats.by_host(),
             self._neighbours.of_zone(self._config.zone),
             is_served=is_served,
             is_listed=is_listed,
@@ -325,13 +304,13 @@
         self._neighbours.learn(digest.neighbours, now_s)
         if digest.is_leaving:
             self._neighbours.drop(host)
-            self._beats.pop(host, None)
+            self._beats.drop(host)
         else:
             self._neighbours.hear(
                 Neighbour(host, digest.zone, digest.link_mbit_per_s), now_s
             )
-        has_news = [self._hear_beat(beat, now_s) for beat in digest.beats]
-        if any(has_news) and now_s - self._ticked_s >= _RELAY_PAUSE_S:
+        has_news = self._hear_beats(digest.beats, now_s)
+        if has_news and now_s - self._ticked_s >= _RELAY_PAUSE_S:
             self._ticked_s = now_s
             actions.sendings += self.spread(now_s)
         if digest.backend_revision > self.newest_revision:
@@ -422,30 +401,12 @@
             changed += self.take_changes(unpack_changes(message), now_s)
         return changed
 
-    def _hear_beat(self, beat: Beat, now_s: float) -> bool:
-        """Note a beat; tell whether it is a new one of this host's zone."""
-        if beat.host == self._config.host:
-            return False
-        heard = self._beats.get(beat.host)
-        if heard is None:
-            heard = self._beats[beat.host] = HeardBeat(beat, now_s)
-        elif beat.is_newer_than(heard.beat):
-            heard.beat = beat
-            heard.heard_s = now_s
-        else:
-            return False
-        if beat.is_served and now_s >= self._doubted_until_s:
-            heard.served_s = now_s
-        return beat.zone == self._config.zone
-
-    def _notice_stall(self, now_s: float) -> None:
-        if self._looked_s and now_s - self._looked_s > _STALL_S:
-            self._doubted_until_s = now_s + _BACKLOG_S
-
-    def _expire_beats(self, now_s: float) -> None:
-        for host, heard in tuple(self._beats.items()):
-            if now_s - heard.heard_s > _BEAT_LIFE_S:
-                self._beats.pop(host)
+    def _hear_beats(self, beats: Iterable[Beat], now_s: float) -> bool:
+        """Note beats; tell whether there is a new one of this host's zone."""
+        new_zones = {
+            beat.zone for beat in beats if self._beats.hear(beat, now_s)
+        }
+        return self._config.zone in new_zones
 
     def _beat(self, *, is_served: bool, now_s: float) -> None:
         self._beat_count += 1
@@ -458,32 +419,22 @@
             self._beat_count,
             is_served,
         )
-        self._beats[config.host] = HeardBeat(beat, now_s)
+        self._beats.note_own(beat, now_s)
 
     def _current_until(self) -> float:
         if self.newest_version > self._steering.table.version:
             return 0
         if self.newest_revision > self._log.revision:
             return 0
-        served_s = max(
-            (heard.served_s for heard in self._beats.values()),
-            default=0,
-        )
-        return max(served_s, self.role.served_s) + _CURRENT_S
+        return self._beats.current_until_s(self.role.served_s)
 
     def _digest(self, now_s: float, *, is_leaving: bool = False) -> Digest:
-        fresh = [
-            heard
-            for heard in self._beats.values()
-            if now_s - heard.heard_s < _CURRENT_S
-        ]
-        fresh.sort(key=lambda heard: heard.heard_s, reverse=True)
         return Digest(
             self._config.zone,
             self._config.link_mbit_per_s,
             self._steering.table.version,
             self._log.revision,
-            tuple(heard.beat for heard in fresh[:_MAX_BEATS]),
+            self._beats.to_tell(now_s),
             self._neighbours.sample(_TOLD_NEIGHBOURS),
             is_leaving,
         )
--- a/src/currantshore/internal/mirror/readerrole.py
+++ b/src/currantshore/internal/mirror/readerrole.py
@@ -19,11 +19,11 @@
 from typing import Final
 
 from currantshore.internal.hashing import stable_hash
+from currantshore.internal.mirror.beats import BEAT_INTERVAL_S, HeardBeat
 from currantshore.internal.mirror.messages import Beat, Neighbour
 
-# Beats go out twice a second and reach a zone of 20 hosts in 1 to 2 s.
-BEAT_INTERVAL_S: Final = 0.5
-_SILENCE_S: Final = 2.5
+# Beats reach a zone of 20 hosts in 1 to 2 s.
+_SILENCE_S: Final = 5 * BEAT_INTERVAL_S
 
 # Each rank waits this much longer, so that the beats of a host that has begun
 # arrive before the next ones begin; a rank beyond the last waits no longer,
@@ -46,18 +46,6 @@
 _START_S: Final = 3.0
 
 
-class HeardBeat:
-    """The newest beat of a reader and when it came."""
-
-    __slots__ = ('beat', 'heard_s', 'served_s')
-
-    def __init__(self, beat: Beat, now_s: float) -> None:
-        """Store ``beat``."""
-        self.beat = beat
-        self.heard_s = now_s
-        self.served_s = 0.0
-
-
 class ReaderRole:
     """Decides whether this host reads the store."""
 
