End flows of silent servers whose address another server has announced

An attempt to connect reached the new owner, so that each silent server counted as reachable, and callers on its open flows waited for their deadlines. Ruled out: ending flows of every server whose entry has been missing for the platform's 2 s; it may be cut off from the store alone, and test_a_lapsed_entry_alone_does_not_end_a_flow forbids it. Change: the directory knows who announced itself last at an address. A silent server that has been replaced there is dead without an attempt, and gets no new flow while its entry is still listed.

--- a/src/currantshore/internal/entry/forwarding.py
+++ b/src/currantshore/internal/entry/forwarding.py
@@ -93,6 +93,7 @@
                 self.counts['opening_copies'] += 1
                 key = packets.flow_key(copy.datagram)
                 self._open(key, copy.datagram, copy.backend)
+            self.on_flows_lost(actions.resets)
             for backend in actions.checks:
                 self.fire(CheckWanted(backend), 'checks')
 
--- a/src/currantshore/internal/steering/choosing.py
+++ b/src/currantshore/internal/steering/choosing.py
@@ -117,7 +117,7 @@
             load = (load + 1 / entry.slots) * _COLD_SLOWNESS
         if entry.zone != self._zone:
             load += _BULK_CROSSING_LOAD if kind.is_bulk else _CROSSING_LOAD
-        if now_s < backend.suspect_until_s:
+        if now_s < backend.suspect_until_s or backend.is_replaced:
             load += _SUSPECT_LOAD
         if backend.standing is Standing.LAPSED:
             load += _LAPSED_LOAD
--- a/src/currantshore/internal/steering/core.py
+++ b/src/currantshore/internal/steering/core.py
@@ -76,6 +76,7 @@
 
     copies: list[OpeningCopy] = dataclasses.field(default_factory=list)
     checks: list[Backend] = dataclasses.field(default_factory=list)
+    resets: list[FlowReset] = dataclasses.field(default_factory=list)
 
 
 class SteeringCore:
@@ -247,12 +248,7 @@
         if is_reachable:
             backend.last_answer_s = now_s
             backend.suspect_until_s = 0
-        if not is_dead:
-            return []
-        resets = [FlowReset(*one) for one in self.records.in_progress(backend)]
-        for reset in resets:
-            self.records.drop(reset.flow_key)
-        return resets
+        return self._end_flows(backend) if is_dead else []
 
     def tick(self, now_s: float) -> TickActions:
         """Look at what is due; call it every ``TICK_INTERVAL_S``."""
@@ -264,7 +260,10 @@
         actions = TickActions()
         if now_s >= self._held_until_s:
             self.records.expire_openings(now_s)
-            actions.checks = self.watches.judge(now_s, self._late_after_s())
+            found = self.watches.judge(now_s, self._late_after_s())
+            actions.checks = found.to_try
+            for backend in found.gone:
+                actions.resets += self._end_flows(backend)
             actions.copies = self._copy_late(now_s)
         self.records.sweep(self.table.idle_timeout_s, now_s)
         if now_s - self._cleaned_s > _CLEAN_INTERVAL_S:
@@ -346,6 +345,12 @@
             ratio = latency_s / route.target_latency_s
             self._gate.note_answer(backend.entry.service_id, ratio, now_s)
 
+    def _end_flows(self, backend: Backend) -> list[FlowReset]:
+        resets = [FlowReset(*one) for one in self.records.in_progress(backend)]
+        for reset in resets:
+            self.records.drop(reset.flow_key)
+        return resets
+
     def _late_after_s(self) -> float:
         return late_after_s(self.records.usual_opening_s.estimate)
 
--- a/src/currantshore/internal/steering/directory.py
+++ b/src/currantshore/internal/steering/directory.py
@@ -6,6 +6,7 @@
 
 from currantshore.internal.hashing import short_hash
 from currantshore.internal.steering.catalog import BackendEntry, BackendRemoved
+from currantshore.wire import Endpoint
 
 # A token of zero is what a caller sends before it has one.
 _NO_TOKEN: Final = 0
@@ -34,12 +35,15 @@
 
     ``asked`` holds the time of each request in progress by flow; ``openings``
     the time of each opening that has had no answer. Both are in order of time.
+    ``is_replaced`` tells whether another server has its address now,
+    ``is_shadowed`` whether another one has its token.
     """
 
     __slots__ = (
         'asked',
         'entry',
         'flow_count',
+        'is_replaced',
         'is_shadowed',
         'last_answer_s',
         'latency_s',
@@ -60,6 +64,7 @@
         self.last_answer_s = now_s
         self.suspect_until_s = 0.0
         self.latency_s = 0.0
+        self.is_replaced = False
         self.is_shadowed = False
         self.update(entry, now_s)
 
@@ -95,6 +100,7 @@
     """
 
     __slots__ = (
+        '_by_endpoint',
         '_by_id',
         '_by_token',
         '_far',
@@ -107,6 +113,8 @@
     def __init__(self, zone: str) -> None:
         """Start empty, for a host of ``zone``."""
         self._zone = zone
+        # The server that was the last to announce itself at an address.
+        self._by_endpoint: dict[Endpoint, Backend] = {}
         self._by_id: dict[str, Backend] = {}
         self._by_token: dict[int, Backend] = {}
         self._near: dict[str, list[Backend]] = {}
@@ -197,6 +205,9 @@
             self._by_id.pop(backend.entry.backend_id)
             if self._by_token.get(backend.token) is backend:
                 self._by_token.pop(backend.token)
+            endpoint = backend.entry.endpoint
+            if self._by_endpoint.get(endpoint) is backend:
+                self._by_endpoint.pop(endpoint)
         if old:
             self._index()
 
@@ -216,6 +227,7 @@
         if _place(backend.entry) != _place(entry):
             self._is_index_stale = True
         backend.update(entry, now_s)
+        self._note_endpoint(backend)
         return True
 
     def _remove(self, removal: BackendRemoved, now_s: float) -> bool:
@@ -233,12 +245,24 @@
 
     def _add(self, backend: Backend) -> None:
         self._by_id[backend.entry.backend_id] = backend
+        self._note_endpoint(backend)
         holder = self._by_token.setdefault(backend.token, backend)
         if holder is backend:
             self._list(backend)
         else:
             self._is_index_stale = True
 
+    def _note_endpoint(self, backend: Backend) -> None:
+        # An address is given on only after its server has ended, and what has
+        # ended announces itself no more: the last announcement counts.
+        endpoint = backend.entry.endpoint
+        holder = self._by_endpoint.setdefault(endpoint, backend)
+        is_last = backend.entry.revision >= holder.entry.revision
+        backend.is_replaced = not is_last
+        if is_last and holder is not backend:
+            holder.is_replaced = True
+            self._by_endpoint[endpoint] = backend
+
     def _list(self, backend: Backend) -> None:
         is_near = backend.entry.zone == self._zone
         services = self._near if is_near else self._far
--- a/src/currantshore/internal/steering/silence.py
+++ b/src/currantshore/internal/steering/silence.py
@@ -10,7 +10,9 @@
   server to any other flow since: new flows go elsewhere for a while;
 * one of these, and two attempts to connect that fail while an attempt to
   connect to another server, made at the same time, succeeds: flows of the
-  server are reset.
+  server are reset;
+* one of these, and an entry of another server at its address: the same, without
+  an attempt, which would reach the address's new owner.
 
 Any answer of the server to any flow ends all of it. The other server is the
 control of the trial: a full link or a stalled host delays both.
@@ -83,15 +85,18 @@
         backend: Backend,
         now_s: float,
         late_opening_s: float,
+        *,
+        has_gone: bool,
     ) -> bool:
         """Judge a server by its flows; tell whether to try a connection.
 
         ``late_opening_s`` is the age from which an unanswered opening is a
-        sign.
+        sign, ``has_gone`` whether its address belongs to another server.
         """
         if self.health is Health.DEAD:
             is_silent = backend.last_answer_s <= self._since_s
-            is_silent = is_silent and not self._is_stale(backend, now_s)
+            if not has_gone and self._is_stale(backend, now_s):
+                is_silent = False
         else:
             is_silent = _is_silent(backend, now_s, late_opening_s)
         if not is_silent:
@@ -119,6 +124,15 @@
         self._check_after_s = now_s + pause_s
         return is_dead and not was_dead
 
+    def confirm(self, now_s: float) -> bool:
+        """Take a silent server as dead; tell whether that is new."""
+        self._is_checking = False
+        self._check_after_s = now_s + _RECHECK_PAUSE_S
+        was_dead = self.health is Health.DEAD
+        self.health = Health.DEAD
+        self._failures = _CONFIRMATIONS
+        return not was_dead
+
     def note_no_check(self, now_s: float) -> None:
         """Take an attempt that showed nothing; another may follow."""
         self._is_checking = False
--- a/src/currantshore/internal/steering/watching.py
+++ b/src/currantshore/internal/steering/watching.py
@@ -8,7 +8,7 @@
 
 import itertools
 from collections.abc import Collection
-from typing import Final
+from typing import Final, NamedTuple
 
 from currantshore.internal.steering.directory import (
     Backend,
@@ -23,6 +23,13 @@
 _CONTROL_CANDIDATES: Final = 16
 
 
+class Judgement(NamedTuple):
+    """Silent servers: those to connect to, and those that have gone."""
+
+    to_try: list[Backend]
+    gone: list[Backend]
+
+
 class BackendWatches:
     """The silence watch of each server that has been in traffic."""
 
@@ -49,18 +56,27 @@
         watch = self._watches.get(backend.entry.backend_id)
         return Health.ANSWERING if watch is None else watch.health
 
-    def judge(self, now_s: float, late_opening_s: float) -> list[Backend]:
-        """Judge the servers with work under way; return those to try."""
-        checks: list[Backend] = []
+    def judge(self, now_s: float, late_opening_s: float) -> Judgement:
+        """Judge the servers with work under way."""
+        found = Judgement([], [])
         busy = self._records.busy
         for backend in tuple(busy):
             watch = self.watch(backend)
-            if watch.judge(backend, now_s, late_opening_s):
-                checks.append(backend)
+            # A server of which only the entry is missing may be cut off from
+            # the store and alive.
+            has_gone = backend.is_replaced
+            may_try = watch.judge(
+                backend, now_s, late_opening_s, has_gone=has_gone
+            )
+            if has_gone and watch.health is Health.SUSPECT:
+                watch.confirm(now_s)
+                found.gone.append(backend)
+            elif may_try:
+                found.to_try.append(backend)
             is_idle = not (backend.openings or backend.asked)
             if is_idle and watch.health is Health.ANSWERING:
                 busy.pop(backend)
-        return checks
+        return found
 
     def control_of(self, backend: Backend) -> Backend | None:
         """Return another server, the one that answered a flow last.
