Do not take a server that moved for one that was replaced

Change: a holder whose own entry names another address is no holder. Test: test_a_server_that_moved_is_not_replaced_at_its_former_address, which failed before.

--- a/src/currantshore/internal/steering/directory.py
+++ b/src/currantshore/internal/steering/directory.py
@@ -257,10 +257,11 @@
         # ended announces itself no more: the last announcement counts.
         endpoint = backend.entry.endpoint
         holder = self._by_endpoint.setdefault(endpoint, backend)
+        has_moved = holder.entry.endpoint != endpoint
         is_last = backend.entry.revision >= holder.entry.revision
-        backend.is_replaced = not is_last
-        if is_last and holder is not backend:
-            holder.is_replaced = True
+        backend.is_replaced = not (is_last or has_moved)
+        if not backend.is_replaced and holder is not backend:
+            holder.is_replaced = not has_moved
             self._by_endpoint[endpoint] = backend
 
     def _list(self, backend: Backend) -> None:
--- a/tests/cover/test_reused_addresses.py
+++ b/tests/cover/test_reused_addresses.py
@@ -98,3 +98,11 @@
             for key in range(20)
         }
         self.assertEqual({2}, placed)
+
+    def test_a_server_that_moved_is_not_replaced_at_its_former_address(self):
+        endpoint = make_entry(40).endpoint
+        moved = make_entry(1, 5, endpoint=endpoint)
+        self.core.change_backends([moved], 5, self.now_s)
+        self.give_address_on()
+        checks, resets = self.run_for(1.0)
+        self.assertEqual(([1], []), (checks, resets))
