Leave a moved server's own verdict alone

The holder that moved may itself be replaced at its new address; the change before cleared that. Tests of tests/cover/test_reused_addresses.py pass.

--- a/src/currantshore/internal/steering/directory.py
+++ b/src/currantshore/internal/steering/directory.py
@@ -260,9 +260,11 @@
         has_moved = holder.entry.endpoint != endpoint
         is_last = backend.entry.revision >= holder.entry.revision
         backend.is_replaced = not (is_last or has_moved)
-        if not backend.is_replaced and holder is not backend:
-            holder.is_replaced = not has_moved
-            self._by_endpoint[endpoint] = backend
+        if backend.is_replaced or holder is backend:
+            return
+        self._by_endpoint[endpoint] = backend
+        if not has_moved:
+            holder.is_replaced = True
 
     def _list(self, backend: Backend) -> None:
         is_near = backend.entry.zone == self._zone
