Name stale reads and freshness by the field's terms

vouch, old and spare become set_current_until, stale and confirm delay; the pause after unreadable answers reaches its bound of 30 s (25.6 before). No other change of behaviour: tests/cover, tests/contract, tests/stateful/test_mirror.py pass.

--- a/src/currantshore/internal/entry/following.py
+++ b/src/currantshore/internal/entry/following.py
@@ -37,7 +37,7 @@
 # An answer that cannot be read will hardly be readable a moment later, so that
 # this pause grows until asking costs next to nothing.
 _UNREADABLE_MAX_S: Final = 30.0
-_UNREADABLE_DOUBLINGS: Final = 8
+_UNREADABLE_DOUBLINGS: Final = 9
 
 # A watch that has not told within this time of a change that other hosts know
 # is taken for silent; two watches of one store differ by milliseconds.
@@ -54,8 +54,8 @@
 # When all hosts start at once, those that are no seed leave the first watch to
 # the seeds for this long: one to two rounds of digests, in which they learn
 # whether another host reads.
-_SPARE_MIN_S: Final = 0.3
-_SPARE_MAX_S: Final = 0.9
+_CONFIRM_DELAY_MIN_S: Final = 0.3
+_CONFIRM_DELAY_MAX_S: Final = 0.9
 
 # How often a host that does not read looks whether it should.
 _IDLE_CHECK_S: Final = 0.1
@@ -68,7 +68,7 @@
     # Whether something of this kind has been read.
     is_known: bool
 
-    async def list_all(self, *, may_be_old: bool) -> int:
+    async def list_all(self, *, may_be_stale: bool) -> int:
         """Read and take over everything; return its revision."""
 
     async def watch(self, revision: int, wait_s: float) -> int:
@@ -91,10 +91,10 @@
         self._version = 0
         self.is_known = False
 
-    async def list_all(self, *, may_be_old: bool) -> int:
+    async def list_all(self, *, may_be_stale: bool) -> int:
         return self._take(
             await self._store.read_configuration(
-                _READ_TIMEOUT_S, may_be_old=may_be_old
+                _READ_TIMEOUT_S, may_be_stale=may_be_stale
             )
         )
 
@@ -135,13 +135,13 @@
         self._store = store
         self.is_known = False
 
-    async def list_all(self, *, may_be_old: bool) -> int:
+    async def list_all(self, *, may_be_stale: bool) -> int:
         pages: list[Page] = []
         next_name = ''
         while next_name or not pages:
             pages.append(
                 await self._store.list_backends(
-                    next_name, _READ_TIMEOUT_S, may_be_old=may_be_old
+                    next_name, _READ_TIMEOUT_S, may_be_stale=may_be_stale
                 )
             )
             next_name = pages[-1].next_name
@@ -174,7 +174,7 @@
 
     __slots__ = (
         '_behind_s',
-        '_is_old_refused',
+        '_must_be_fresh',
         '_revision',
         'call',
         'failures',
@@ -188,7 +188,7 @@
         self.failures = 0
         self.is_confirmed = False
         self._behind_s = 0.0
-        self._is_old_refused = False
+        self._must_be_fresh = False
         self._revision = 0
 
     def is_listed(self) -> bool:
@@ -215,7 +215,7 @@
     def forget_history(self) -> None:
         """List again: the store cannot tell what changed since."""
         # An old listing is what the store has just forgotten the history of.
-        self._is_old_refused = not self.is_confirmed
+        self._must_be_fresh = not self.is_confirmed
         self.start_over()
 
     async def run_call(self) -> BaseException | None:
@@ -240,10 +240,10 @@
     async def _step(self) -> None:
         if not self._revision:
             self._revision = await self.subject.list_all(
-                may_be_old=not self._is_old_refused
+                may_be_stale=not self._must_be_fresh
             )
-            self.is_confirmed = self._is_old_refused
-            self._is_old_refused = False
+            self.is_confirmed = self._must_be_fresh
+            self._must_be_fresh = False
             return
         wait_s = _WAIT_S if self.is_confirmed else _CONFIRM_WAIT_S
         reached = await self.subject.watch(self._revision, wait_s)
@@ -393,7 +393,9 @@
         if watch.is_confirmed:
             await asyncio.sleep(_GATHER_S)
         elif self._may_wait:
-            await asyncio.sleep(self._rng.uniform(_SPARE_MIN_S, _SPARE_MAX_S))
+            await asyncio.sleep(
+                self._rng.uniform(_CONFIRM_DELAY_MIN_S, _CONFIRM_DELAY_MAX_S)
+            )
 
     async def _pause(self, failures: int) -> None:
         doublings = min(failures, _MAX_DOUBLINGS)
--- a/src/currantshore/internal/entry/readiness.py
+++ b/src/currantshore/internal/entry/readiness.py
@@ -7,8 +7,8 @@
 
 from typing import Final
 
-# A host that holds everything waits this long for someone to vouch for it: two
-# rounds of digests.
+# A host that holds everything waits this long to be confirmed as up to
+# date: two rounds of digests.
 CONFIRM_PATIENCE_S: Final = 1.0
 
 
@@ -32,7 +32,7 @@
         """Tell whether the host may be sent packets.
 
         ``is_complete`` tells whether it holds a list of servers and a
-        configuration, ``is_current`` whether someone vouches for them.
+        configuration, ``is_current`` whether they are confirmed as up to date.
         """
         if self.is_reached or not is_complete:
             return self.is_reached
--- a/src/currantshore/internal/mirror/beats.py
+++ b/src/currantshore/internal/mirror/beats.py
@@ -1,4 +1,4 @@
-"""What a host has heard of readers, and until when it vouches for anything.
+"""Heartbeats of readers, and until when they confirm what a host holds.
 
 The load that this answers: hosts that are stopped or suspended for seconds.
 Datagrams wait in the socket of such a host meanwhile, and a beat that is read
--- a/src/currantshore/internal/mirror/core.py
+++ b/src/currantshore/internal/mirror/core.py
@@ -272,7 +272,7 @@
             # Hosts that have just started wait for the first beat.
             self._ticked_s = 0
         self._was_served = is_served
-        self._steering.vouch(self._current_until())
+        self._steering.set_current_until(self._current_until())
         is_beating = self.role.is_reader and not is_leaving
         pause_s = BEAT_INTERVAL_S
         if not is_beating:
--- a/src/currantshore/internal/steering/core.py
+++ b/src/currantshore/internal/steering/core.py
@@ -118,7 +118,7 @@
         self._chooser = BackendChooser(zone, rng, self.records.busy_shares)
         self.watches = BackendWatches(self.directory, self.records)
         self.table = RoutingTable(0, {}, 0)
-        # Until when the store or a peer vouches for what is held. After that,
+        # Until when what is held is what the store holds. After that,
         # as at a start, what is missing is no reason to refuse.
         self._current_until_s = 0.0
 
@@ -127,8 +127,8 @@
         """Build the core of a host in ``zone``."""
         return cls(zone, random.Random(seed))
 
-    def vouch(self, until_s: float) -> None:
-        """Take what is held for what the store holds, until ``until_s``."""
+    def set_current_until(self, until_s: float) -> None:
+        """Take what is held as up to date until ``until_s``."""
         self._current_until_s = until_s
 
     def is_current(self, now_s: float) -> bool:
--- a/src/currantshore/platform/store.py
+++ b/src/currantshore/platform/store.py
@@ -57,13 +57,13 @@
         after: str,
         timeout_s: float,
         *,
-        may_be_old: bool = False,
+        may_be_stale: bool = False,
     ) -> Page:
         """Return the page of backend servers that follows name ``after``.
 
-        A listing that ``may_be_old`` costs a tenth and may be seconds old.
+        A listing that ``may_be_stale`` costs a tenth and may be seconds old.
         """
-        query = _list_query(after, may_be_old=may_be_old)
+        query = _list_query(after, may_be_stale=may_be_stale)
         target = f'{_BACKENDS}{query}'
         page = await self._get(target, timeout_s, decode_backend_page)
         is_next = all(entry.backend_id > after for entry in page.entries)
@@ -91,10 +91,10 @@
         self,
         timeout_s: float,
         *,
-        may_be_old: bool = False,
+        may_be_stale: bool = False,
     ) -> Configured:
-        """Return the newest configuration, or one that ``may_be_old``."""
-        query = _list_query('', may_be_old=may_be_old)
+        """Return the newest configuration, or one that ``may_be_stale``."""
+        query = _list_query('', may_be_stale=may_be_stale)
         return await self._get(
             f'{_CONFIGURATION}{query}', timeout_s, decode_configuration_page
         )
@@ -140,11 +140,11 @@
             raise AnswerUnreadableError(f'{target}: {error}') from error
 
 
-def _list_query(after: str, *, may_be_old: bool) -> str:
+def _list_query(after: str, *, may_be_stale: bool) -> str:
     parts = []
     if after:
         parts.append(f'after={after}')
-    if may_be_old:
+    if may_be_stale:
         parts.append('stale-ok=1')
     return f'?{"&".join(parts)}' if parts else ''
 
--- a/standins/objectstore.py
+++ b/standins/objectstore.py
@@ -64,7 +64,7 @@
             maxlen=history
         )
         self._forgotten = 0
-        self._old: ObjectStore | None = None
+        self._stale: ObjectStore | None = None
         self._changed = asyncio.Condition()
 
     async def put(self, kind: str, name: str, spec: Any) -> int:
@@ -119,18 +119,18 @@
             'as-of': self.revision,
         }
 
-    def old_page(self, kind: str, after: str) -> dict[str, Any]:
-        """Return the page as it was when ``age`` was called, if it was."""
-        if self._old is None:
+    def stale_page(self, kind: str, after: str) -> dict[str, Any]:
+        """Return the page of a stale read; see ``freeze_stale_reads``."""
+        if self._stale is None:
             return self.page(kind, after)
-        return self._old.page(kind, after)
+        return self._stale.page(kind, after)
 
-    def age(self) -> None:
-        """Answer calls that take old data as of now from here on."""
-        old = ObjectStore(self._page_size)
-        old.revision = self.revision
-        old._objects = copy.deepcopy(self._objects)
-        self._old = old
+    def freeze_stale_reads(self) -> None:
+        """Answer stale reads with the data of now from here on."""
+        stale = ObjectStore(self._page_size)
+        stale.revision = self.revision
+        stale._objects = copy.deepcopy(self._objects)
+        self._stale = stale
 
     async def watch(
         self,
@@ -224,8 +224,8 @@
         if 'watch' not in request.query:
             after = request.query.get('after', '')
             if 'stale-ok' in request.query:
-                self.store.calls['old'] += 1
-                return web.json_response(self.store.old_page(kind, after))
+                self.store.calls['stale'] += 1
+                return web.json_response(self.store.stale_page(kind, after))
             return web.json_response(self.store.page(kind, after))
         wait_ms = min(int(request.query.get('wait-ms', 0)), _MAX_WAIT_MS)
         revision = int(request.query['watch'])
--- a/tests/contract/test_following.py
+++ b/tests/contract/test_following.py
@@ -99,7 +99,7 @@
 
 
 class SilentWatchTests(FollowerKit):
-    """Guards against a reader that vouches for a store it cannot hear."""
+    """Guards against a reader that is served by a store it cannot hear."""
 
     def test_a_watch_that_misses_what_others_know_is_no_service(self):
         async def scenario(store):
@@ -179,7 +179,7 @@
         self.play(scenario)
 
 
-class OldListingTests(FollowerKit):
+class StaleListingTests(FollowerKit):
     """Guards against a host that starts with servers that have left.
 
     The cheap listing of a start may be seconds old.
@@ -195,7 +195,7 @@
         }
         for number in range(1, 6):
             await store.put('servers', f'i-{number}', spec)
-        store.age()
+        store.freeze_stale_reads()
         await store.remove('servers', 'i-2')
         await store.put('servers', 'i-3', {**spec, 'state': 'draining'})
 
@@ -210,7 +210,7 @@
     def test_the_first_lists_are_the_cheap_ones(self):
         async def scenario(store):
             # Three pages of servers and one of the configuration.
-            self.assertEqual(4, store.calls['old'])
+            self.assertEqual(4, store.calls['stale'])
 
         self.play(scenario)
 
@@ -221,7 +221,7 @@
             self.assertEqual(
                 {'i-1', 'i-3', 'i-4', 'i-5'}, set(self.holdings.entries)
             )
-            self.assertEqual(4, store.calls['old'])
+            self.assertEqual(4, store.calls['stale'])
 
         prepare = self.prepare
 
--- a/tests/cover/steering_kit.py
+++ b/tests/cover/steering_kit.py
@@ -53,7 +53,7 @@
     core = SteeringCore.from_config(zone, seed=1)
     core.configure(table or make_table())
     core.list_backends(entries, 1, now_s)
-    core.vouch(math.inf)
+    core.set_current_until(math.inf)
     core.tick(now_s)
     return core
 
--- a/tests/cover/test_steering_core.py
+++ b/tests/cover/test_steering_core.py
@@ -53,7 +53,7 @@
 
     def test_a_host_that_may_be_behind_does_not_refuse_a_route(self):
         core = make_core([make_entry(1)])
-        core.vouch(0)
+        core.set_current_until(0)
         decision = core.on_opening(b'flow', OTHER_ADDRESS, b'syn', 100.0)
         self.assertFalse(decision.is_told)
 
@@ -199,7 +199,7 @@
 
     def test_an_unknown_token_is_never_told_by_a_host_that_may_be_behind(self):
         core = make_core([make_entry(1)])
-        core.vouch(0)
+        core.set_current_until(0)
         for now_s in (100.0, 110.0):
             found = core.on_segment(b'f', ADDRESS, make_segment(77), now_s)
             self.assertFalse(found.is_told)
@@ -381,7 +381,7 @@
     def setUp(self):
         super().setUp()
         self.core = make_core([make_entry(1)])
-        self.core.vouch(102.5)
+        self.core.set_current_until(102.5)
 
     def test_a_route_that_may_have_come_meanwhile_is_not_refused(self):
         told = self.core.on_opening(b'flow', OTHER_ADDRESS, b'syn', 102.4)
--- a/tests/stateful/test_mirror.py
+++ b/tests/stateful/test_mirror.py
@@ -256,7 +256,7 @@
     def test_a_host_that_is_told_of_beats_is_current(self):
         self.assertTrue(self.is_current())
 
-    def test_a_beat_that_waited_in_the_socket_vouches_for_nothing(self):
+    def test_a_beat_that_waited_in_the_socket_confirms_nothing(self):
         world = self.world
         queued = world.stop(self.name)
         world.run(8.0)
