--- a/tests/process/test_forwarder.py
+++ b/tests/process/test_forwarder.py
@@ -45,7 +45,7 @@
 def request_of(token):
     """Return a packet of an open flow that asks for something."""
     head = struct.pack('<HIIIHI', 4, 9, 5, 1, 1024, _CALLER_NUMBER)
-    return head + _ADDRESS + struct.pack('<IB', token, _ACK) + b'GET '
+    return head + _ADDRESS + struct.pack('<IB4s', token, _ACK, b'GET ')
 
 
 class ForwarderTestCase(testtools.TestCase):
