List afresh when history is lost, and wait for the listing of a slow store

A reader whose watch was told that its history is gone listed with a stale read first, whose history is gone as well: a call of each page more, and up to 0.9 s on a host that is no seed. And a listing under way was taken for a silent watch after 0.4 s when other hosts knew more, so that a new reader never finished one while the store answered 60 times as late. Change: history lost means a fresh listing; only a watch can be silent, a listing has its timeout of 1.5 s a page; a host that was confirmed once waits for nobody any more. Tests: test_after_history_was_lost_the_listing_is_no_stale_read and test_a_listing_of_a_slow_store_is_waited_for, both failed before.

--- a/src/currantshore/internal/entry/following.py
+++ b/src/currantshore/internal/entry/following.py
@@ -167,9 +167,9 @@
 class _Watch:
     """One subject, what has been read of it, and the call under way.
 
-    A first listing may be seconds old: it costs a tenth, and hundreds of hosts
-    list when all start at once. The first watch goes on from there and returns
-    at once; with its answer the host holds what the store holds.
+    A listing may be a stale read: it costs a tenth, and hundreds of hosts list
+    when all start at once. The first watch goes on from there and returns at
+    once; with its answer the host holds what the store holds.
     """
 
     __slots__ = (
@@ -200,8 +200,11 @@
         return self.subject.is_known and self.is_confirmed and not self.failures
 
     def is_silent(self, now_s: float) -> bool:
-        """Tell whether a call under way has missed what others know."""
-        if not self.subject.is_behind(self._revision):
+        """Tell whether a watch under way has missed what others know.
+
+        A listing of a slow store takes longer than that, and has its timeouts.
+        """
+        if not self._revision or not self.subject.is_behind(self._revision):
             self._behind_s = 0
             return False
         self._behind_s = self._behind_s or now_s
@@ -214,8 +217,8 @@
 
     def forget_history(self) -> None:
         """List again: the store cannot tell what changed since."""
-        # An old listing is what the store has just forgotten the history of.
-        self._must_be_fresh = not self.is_confirmed
+        # A stale listing may be of a time whose history has gone as well.
+        self._must_be_fresh = True
         self.start_over()
 
     async def run_call(self) -> BaseException | None:
@@ -275,10 +278,9 @@
     ) -> None:
         """Follow the store at ``endpoint``.
 
-        A host that ``is_first`` does not leave it to others to make sure that
-        a first listing is not old.
+        A host that ``is_first`` confirms its first listing at once; others
+        wait a moment to learn whether they have to read.
         """
-        # Ends when this host begins to read in another's place.
         self._may_wait = not is_first
         self._holdings = holdings
         self._log = log
@@ -391,6 +393,7 @@
 
     async def _gather(self, watch: _Watch) -> None:
         if watch.is_confirmed:
+            self._may_wait = False
             await asyncio.sleep(_GATHER_S)
         elif self._may_wait:
             await asyncio.sleep(
--- a/tests/contract/test_following.py
+++ b/tests/contract/test_following.py
@@ -231,3 +231,29 @@
 
         self.prepare = prepare_and_forget
         self.play(scenario)
+
+    def test_after_history_was_lost_the_listing_is_no_stale_read(self):
+        async def scenario(store):
+            before = store.calls['stale']
+            await store.put('other', 'one', {})
+            store.forget_history()
+            await store.put('servers', 'i-9', {})
+            await store.remove('servers', 'i-4')
+            await asyncio.sleep(_STEP_S * 8)
+            self.assertNotIn('i-4', self.holdings.entries)
+            self.assertEqual(before, store.calls['stale'])
+
+        self.play(scenario)
+
+    def test_a_listing_of_a_slow_store_is_waited_for(self):
+        # Other hosts know more meanwhile, which made it look silent.
+        async def scenario(store):
+            await store.put('other', 'one', {})
+            store.forget_history()
+            self.holdings.mirror.passed_on_revision = store.revision
+            store.faults = Faults(slow_ms=250)
+            await store.remove('servers', 'i-4')
+            await self.watch_for(3)
+            self.assertNotIn('i-4', self.holdings.entries)
+
+        self.play(scenario)
