Count a request as late only after twice what its server usually takes

Cause: an unanswered request was a sign of silence after 0.6 s at the latest, a bound read off sites of 7 to 60 ms of work; on servers whose work takes a second every host would suspect every server, avoid it and connect to it. Change: no earlier than twice the server's mean latency. Nothing changes below a mean of 0.3 s. Test: LongWorkTests, of which the first failed before.

--- a/src/currantshore/internal/steering/silence.py
+++ b/src/currantshore/internal/steering/silence.py
@@ -33,10 +33,12 @@
 # full queue of 12 before 3 slots takes about 5 times the mean.
 _LATE_FACTOR: Final = 6.0
 
-# Bounds of the time after which an unanswered request is a sign: one
-# retransmission of a caller (200 ms), and the deadline of the shortest class.
+# Bounds of the time after which an unanswered request is a sign: most of a
+# caller's first retransmission (200 ms), and three of them; but work of any
+# length may take twice its mean.
 _LATE_MIN_S: Final = 0.15
 _LATE_MAX_S: Final = 0.6
+_USUAL_FACTOR: Final = 2.0
 
 # Failed connection attempts that confirm a silence; one may be a lost packet.
 _CONFIRMATIONS: Final = 2
@@ -169,8 +171,10 @@
     asked_s = _first(backend.asked)
     if asked_s is None:
         return False
-    late_s = min(
-        max(backend.latency_s * _LATE_FACTOR, _LATE_MIN_S), _LATE_MAX_S
+    late_s = max(
+        min(backend.latency_s * _LATE_FACTOR, _LATE_MAX_S),
+        backend.latency_s * _USUAL_FACTOR,
+        _LATE_MIN_S,
     )
     return now_s - max(asked_s, answered_s) >= late_s
 
--- a/tests/cover/test_watching.py
+++ b/tests/cover/test_watching.py
@@ -147,3 +147,41 @@
         core = make_core([make_entry(1), make_entry(2)])
         now_s = self.open_flows(core, 200, 0.005)
         self.assertEqual(1, len(self.copies_within(core, now_s, 0.12)))
+
+
+class LongWorkTests(testtools.TestCase):
+    """Guards against servers of long work that count as silent all the time."""
+
+    def setUp(self):
+        super().setUp()
+        self.core = make_core([make_entry(1), make_entry(2)])
+        self.now_s = 100.0
+
+    def ask(self, key, work_s):
+        """Play one request at server 1; return whether it was tried."""
+        asked = make_segment(1, size=9)
+        self.core.on_segment(key, ADDRESS, asked, self.now_s)
+        checks = []
+        for _ in range(round(work_s / 0.015)):
+            self.now_s += 0.015
+            checks.extend(self.core.tick(self.now_s).checks)
+        answered = make_segment(1, 10, 500)
+        self.core.on_segment(key, ADDRESS, answered, self.now_s)
+        for backend in checks:
+            self.core.on_checked(
+                backend,
+                is_reachable=True,
+                is_control_reachable=True,
+                now_s=self.now_s,
+            )
+        return bool(checks)
+
+    def test_work_of_a_second_is_not_late_once_it_is_known(self):
+        for number in range(12):
+            self.ask(b'known-%d' % number, 1.0)
+        self.assertFalse(self.ask(b'next', 1.2))
+
+    def test_a_request_of_twice_the_usual_is_late(self):
+        for number in range(12):
+            self.ask(b'known-%d' % number, 1.0)
+        self.assertTrue(self.ask(b'next', 2.5))
