Refuse openings by waiting and not by latency; name routes' and replaced servers' decisions

Cause: the gate's thresholds (0.55 to 0.65 of the target latency) were read off sites whose work takes a fifth of their targets. Where work takes half of it or more, a service without any queue would have been refused. Ruled out: a lower quantile followed without periods; a flood of a minute became the usual work (test_a_flood_of_a_minute_does_not_become_the_work). Change: what a route takes without a queue is the least of its low quantiles of the last two minutes (steering/waiting.py; a prior of a fifth of the target for ten seconds); refusals begin when about half of the time that the target leaves went into waiting. Where work alone exceeds the target, the timeout counts. routesinforce.py is split off the core; a server given up because its address was announced by another one is logged (backend_server_replaced).

--- a/src/currantshore/internal/entry/forwarding.py
+++ b/src/currantshore/internal/entry/forwarding.py
@@ -93,6 +93,12 @@
                 self.counts['opening_copies'] += 1
                 key = packets.flow_key(copy.datagram)
                 self._open(key, copy.datagram, copy.backend)
+            for replaced in actions.replaced:
+                self._log.write(
+                    'backend_server_replaced',
+                    backend_id=replaced.entry.backend_id,
+                    entry_revision=replaced.entry.revision,
+                )
             self.on_flows_lost(actions.resets)
             for backend in actions.checks:
                 self.fire(CheckWanted(backend), 'checks')
--- a/src/currantshore/internal/steering/core.py
+++ b/src/currantshore/internal/steering/core.py
@@ -30,8 +30,10 @@
     LateOpenings,
     late_after_s,
 )
+from currantshore.internal.steering.routesinforce import RoutesInForce
 from currantshore.internal.steering.silence import Health
 from currantshore.internal.steering.unknowntokens import UnknownTokens
+from currantshore.internal.steering.waiting import WaitShares
 from currantshore.internal.steering.watching import BackendWatches
 
 # A tick that comes this much late was held up, and so were the answers that
@@ -72,10 +74,15 @@
 
 @dataclasses.dataclass(slots=True)
 class TickActions:
-    """What a tick asks of the adapters."""
+    """What a tick asks of the adapters.
+
+    ``replaced`` are the silent servers whose addresses belong to others now;
+    ``resets`` end their flows.
+    """
 
     copies: list[OpeningCopy] = dataclasses.field(default_factory=list)
     checks: list[Backend] = dataclasses.field(default_factory=list)
+    replaced: list[Backend] = dataclasses.field(default_factory=list)
     resets: list[FlowReset] = dataclasses.field(default_factory=list)
 
 
@@ -90,16 +97,16 @@
         '_chooser',
         '_cleaned_s',
         '_current_until_s',
-        '_former',
         '_gate',
         '_held_until_s',
         '_late',
         '_rng',
+        '_routes',
         '_ticked_s',
         '_unknown',
+        '_waits',
         'directory',
         'records',
-        'table',
         'watches',
     )
 
@@ -107,17 +114,17 @@
         """Prefer ``from_config``."""
         self._rng = rng
         self._late = LateOpenings()
-        self._former: dict[bytes, frozenset[str]] = {}
         self._gate = OpeningGate(rng)
         self._held_until_s = 0.0
         self._cleaned_s = 0.0
         self._ticked_s = 0.0
         self._unknown = UnknownTokens()
+        self._waits = WaitShares()
         self.directory = BackendDirectory(zone)
         self.records = FlowRecords()
         self._chooser = BackendChooser(zone, rng, self.records.busy_shares)
         self.watches = BackendWatches(self.directory, self.records)
-        self.table = RoutingTable(0, {}, 0)
+        self._routes = RoutesInForce()
         # Until when what is held is what the store holds. After that,
         # as at a start, what is missing is no reason to refuse.
         self._current_until_s = 0.0
@@ -127,6 +134,11 @@
         """Build the core of a host in ``zone``."""
         return cls(zone, random.Random(seed))
 
+    @property
+    def table(self) -> RoutingTable:
+        """The configuration in force."""
+        return self._routes.table
+
     def set_current_until(self, until_s: float) -> None:
         """Take what is held as up to date until ``until_s``."""
         self._current_until_s = until_s
@@ -141,14 +153,7 @@
 
     def configure(self, table: RoutingTable) -> bool:
         """Put a newer configuration in force; tell whether it was newer."""
-        if table.version <= self.table.version:
-            return False
-        for address_key, route in self.table.routes.items():
-            served = {share.service_id for share in route.shares}
-            known = self._former.get(address_key, frozenset())
-            self._former[address_key] = known | served
-        self.table = table
-        return True
+        return self._routes.configure(table)
 
     def list_backends(
         self,
@@ -209,10 +214,9 @@
             if isinstance(found, FlowRefusal):
                 return found
             record = self._follow(flow_key, record, found, segment, now_s)
-        if address_key not in self.table.routes:
-            if address_key in self._former:
-                self.records.drop(flow_key)
-                return self._refuse_unknown(FlowRefusal.ROUTE_REMOVED, now_s)
+        if self._routes.is_removed(address_key):
+            self.records.drop(flow_key)
+            return self._refuse_unknown(FlowRefusal.ROUTE_REMOVED, now_s)
         backend = record.backend
         latency_s = self.records.note_segment(flow_key, record, segment, now_s)
         if latency_s is not None:
@@ -262,7 +266,8 @@
             self.records.expire_openings(now_s)
             found = self.watches.judge(now_s, self._late_after_s())
             actions.checks = found.to_try
-            for backend in found.gone:
+            actions.replaced = found.replaced
+            for backend in found.replaced:
                 actions.resets += self._end_flows(backend)
             actions.copies = self._copy_late(now_s)
         self.records.sweep(self.table.idle_timeout_s, now_s)
@@ -279,7 +284,7 @@
         now_s: float,
         is_copy: bool,
     ) -> Decision:
-        route = self.table.routes.get(address_key)
+        route = self._routes.find(address_key)
         if route is None:
             return self._refuse_unknown(FlowRefusal.NO_ROUTE, now_s)
         record = self.records.find(flow_key)
@@ -337,13 +342,13 @@
     ) -> None:
         if self._is_held_up(now_s):
             return
-        route = self.table.routes.get(address_key)
+        route = self._routes.find(address_key)
         # What an upload takes is the time of its own packets.
         if route is None or route.kind is RequestKind.UPLOAD:
             return
         if route.target_latency_s > 0:
-            ratio = latency_s / route.target_latency_s
-            self._gate.note_answer(backend.entry.service_id, ratio, now_s)
+            share = self._waits.note(route, latency_s, now_s)
+            self._gate.note_answer(backend.entry.service_id, share, now_s)
 
     def _end_flows(self, backend: Backend) -> list[FlowReset]:
         resets = [FlowReset(*one) for one in self.records.in_progress(backend)]
@@ -399,22 +404,10 @@
             return self._unknown.refuse(
                 token, now_s, is_current=self.is_current(now_s)
             )
-        if not self._may_serve(address_key, backend.entry.service_id):
+        if not self._routes.may_serve(address_key, backend.entry.service_id):
             return FlowRefusal.SERVICE_MISMATCH
         return backend
 
-    def _may_serve(self, address_key: bytes, service_id: str) -> bool:
-        route = self.table.routes.get(address_key)
-        former = self._former.get(address_key)
-        if route is None and former is None:
-            # The route is newer than this host's configuration.
-            return True
-        if former is not None and service_id in former:
-            return True
-        return route is not None and any(
-            share.service_id == service_id for share in route.shares
-        )
-
     def _follow(
         self,
         flow_key: bytes,
@@ -433,6 +426,7 @@
     def _forget_gone(self, now_s: float) -> None:
         self.directory.forget_old(now_s)
         self._gate.forget_gone(self.table.routes, now_s)
+        self._waits.forget_gone(self.table.routes)
         known = {
             backend.entry.backend_id
             for backend in self.directory.all_backends()
@@ -457,7 +451,7 @@
             return None
         if not self._late.may_copy():
             return None
-        route = self.table.routes.get(record.address_key)
+        route = self._routes.find(record.address_key)
         if route is None:
             return None
         backend = self._choose(route, record.tried, now_s)
--- a/src/currantshore/internal/steering/openinggate.py
+++ b/src/currantshore/internal/steering/openinggate.py
@@ -6,11 +6,12 @@
 checkouts: of 971 requests of two seconds the servers refused 13, and 470 were
 late).
 
-The sign of it: the middle one of the latest answers takes over half of its
-route's target latency. Then openings above the usual rate of their route are
-refused at random, the more the longer answers take, so that queues shrink and
-slots still never run empty. A few slow servers do not move the middle one, and
-no kind of request is refused for the flood of another.
+The sign of it: the middle one of the latest answers has waited for about half
+of the time that its route's target leaves for waiting. Then openings above the
+usual rate of their route are refused at random, the more the longer answers
+wait, so that queues shrink and slots still never run empty. A few slow servers
+do not move the middle one, and no kind of request is refused for the flood of
+another.
 """
 
 import collections
@@ -28,15 +29,14 @@
 _MIN_ANSWERS: Final = 8
 _ANSWER_LIFE_S: Final = 1.0
 
-# When an answer came, and its latency by its route's target latency.
+# When an answer came, and its share of waiting (``steering/waiting.py``).
 _Answer: TypeAlias = tuple[float, float]
 
-# Latency by target latency from which openings are refused, and at which all
-# but the usual ones are. Without a queue the ratio is 0.2 on both users' sites;
-# at 0.55, about two requests wait for each slot. Trials of 0.35 to 0.5, of 0.45
-# to 0.6 and of 0.6 to 0.7 refused more with slots free, or left queues longer.
-_FIRST_REFUSED_RATIO: Final = 0.55
-_ALL_REFUSED_RATIO: Final = 0.65
+# Share of waiting from which openings are refused, and at which all but the
+# usual ones are. Refusals act a round trip and a queue later: from half of the
+# time on, what is admitted now is answered when all of it has gone.
+_FIRST_REFUSED_SHARE: Final = 0.45
+_ALL_REFUSED_SHARE: Final = 0.55
 
 # The usual rate of a route is that of about the last ten seconds without a
 # refusal: a flood is seconds long, a day's change of traffic minutes.
@@ -91,24 +91,24 @@
     def note_answer(
         self,
         service_id: str,
-        latency_ratio: float,
+        wait_share: float,
         now_s: float,
     ) -> None:
-        """Take an answer's latency divided by its route's target latency."""
+        """Take the share of waiting of an answer; 1 is just in time."""
         answers = self._answers.get(service_id)
         if answers is None:
             answers = collections.deque(maxlen=_MAX_ANSWERS)
             self._answers[service_id] = answers
-        answers.append((now_s, latency_ratio))
+        answers.append((now_s, wait_share))
 
     def admits(self, route: Route, service_id: str, now_s: float) -> bool:
         """Tell whether a new flow of ``route`` may open at the service."""
-        ratio = self._middle_ratio(service_id, now_s)
-        is_flooded = ratio > _FIRST_REFUSED_RATIO
+        ratio = self._middle_share(service_id, now_s)
+        is_flooded = ratio > _FIRST_REFUSED_SHARE
         if self._is_usual(route.address_key, now_s, is_flooded):
             return True
-        reach = _ALL_REFUSED_RATIO - _FIRST_REFUSED_RATIO
-        return self._rng.random() > (ratio - _FIRST_REFUSED_RATIO) / reach
+        reach = _ALL_REFUSED_SHARE - _FIRST_REFUSED_SHARE
+        return self._rng.random() > (ratio - _FIRST_REFUSED_SHARE) / reach
 
     def forget_gone(self, routes: Container[bytes], now_s: float) -> None:
         """Forget routes that are not in ``routes``, and silent services."""
@@ -141,7 +141,7 @@
             rate.left -= 1
         return is_usual
 
-    def _middle_ratio(self, service_id: str, now_s: float) -> float:
+    def _middle_share(self, service_id: str, now_s: float) -> float:
         answers = self._answers.get(service_id, ())
         ratios = sorted(
             ratio
--- a/src/currantshore/internal/steering/watching.py
+++ b/src/currantshore/internal/steering/watching.py
@@ -24,10 +24,10 @@
 
 
 class Judgement(NamedTuple):
-    """Silent servers: those to connect to, and those that have gone."""
+    """Silent servers: those to connect to, and those that were replaced."""
 
     to_try: list[Backend]
-    gone: list[Backend]
+    replaced: list[Backend]
 
 
 class BackendWatches:
@@ -70,7 +70,7 @@
             )
             if has_gone and watch.health is Health.SUSPECT:
                 watch.confirm(now_s)
-                found.gone.append(backend)
+                found.replaced.append(backend)
             elif may_try:
                 found.to_try.append(backend)
             is_idle = not (backend.openings or backend.asked)
