--- a/src/currantshore/internal/entry/following.py
+++ b/src/currantshore/internal/entry/following.py
@@ -13,7 +13,7 @@
 )
 from currantshore.internal.entry.decisionlog import DecisionLog
 from currantshore.internal.entry.holdings import Holdings
-from currantshore.platform.objects import Configured, Page
+from currantshore.internal.steering.catalog import BackendEntry
 from currantshore.platform.store import StoreConnection
 from currantshore.wire import Endpoint
 
@@ -48,186 +48,147 @@
 # small part of the 3 s within which a change has to be in force.
 _GATHER_S: Final = 0.2
 
-# The first watch after a listing returns at once, with what has changed since.
-_CONFIRM_WAIT_S: Final = 0.001
-
-# When all hosts start at once, those that are no seed leave the first watch to
-# the seeds for this long: one to two rounds of digests, in which they learn
-# whether another host reads.
-_CONFIRM_DELAY_MIN_S: Final = 0.3
-_CONFIRM_DELAY_MAX_S: Final = 0.9
-
 # How often a host that does not read looks whether it should.
 _IDLE_CHECK_S: Final = 0.1
 
 
 class _Subject(Protocol):
-    """One kind of object that is listed once and then watched."""
+    """One kind of object that is read once and then watched."""
 
     name: str
-    # Whether something of this kind has been read.
     is_known: bool
 
-    async def list_all(self, *, may_be_stale: bool) -> int:
-        """Read and take over everything; return its revision."""
+    async def step(self) -> None:
+        """Make one call and take over what it returned."""
+
+    def start_over(self) -> None:
+        """Read everything again in the next step."""
 
-    async def watch(self, revision: int, wait_s: float) -> int:
-        """Take over what changed since; return the revision reached."""
+    def is_behind(self) -> bool:
+        """Tell whether other hosts know of what a watch has not told.
 
-    def is_behind(self, revision: int) -> bool:
-        """Tell whether other hosts know of what the store has not told."""
+        False during a listing, which takes long while the store is slow and
+        has its own timeouts.
+        """
 
 
 class _ConfigurationSubject:
-    """Reads the configuration."""
+    """Follows the configuration."""
 
-    __slots__ = ('_holdings', '_store', '_version', 'is_known')
+    __slots__ = ('_holdings', '_revision', '_store', '_version', 'is_known')
 
     name = 'configuration'
 
     def __init__(self, holdings: Holdings, store: StoreConnection) -> None:
         self._holdings = holdings
         self._store = store
+        self._revision = 0
         self._version = 0
         self.is_known = False
 
-    async def list_all(self, *, may_be_stale: bool) -> int:
-        return self._take(
-            await self._store.read_configuration(
-                _READ_TIMEOUT_S, may_be_stale=may_be_stale
+    async def step(self) -> None:
+        if self._revision:
+            found = await self._store.watch_configuration(
+                self._revision, _WAIT_S, _WAIT_S + _OVERDUE_S
             )
-        )
-
-    async def watch(self, revision: int, wait_s: float) -> int:
-        return self._take(
-            await self._store.watch_configuration(
-                revision, wait_s, wait_s + _OVERDUE_S
-            )
-        )
-
-    def is_behind(self, revision: int) -> bool:
-        return self._version < self._holdings.mirror.newest_version
-
-    def _take(self, found: Configured) -> int:
+        else:
+            found = await self._store.read_configuration(_READ_TIMEOUT_S)
+        self._revision = max(self._revision, found.revision)
         if found.table is None:
             # One that cannot be read leaves what is in force.
             self._holdings.tell_unreadable(
                 'configuration', found.faults, 'store'
             )
-            return found.revision
+            return
         self.is_known = True
         self._version = max(self._version, found.table.version)
         self._holdings.take_configuration(
             found.table, found.body, 'store', found.revision, found.faults
         )
-        return found.revision
+
+    def start_over(self) -> None:
+        self._revision = 0
+
+    def is_behind(self) -> bool:
+        if not self._revision:
+            return False
+        return self._version < self._holdings.mirror.newest_version
 
 
 class _BackendSubject:
-    """Reads the backend servers."""
+    """Follows the backend servers."""
 
-    __slots__ = ('_holdings', '_store', 'is_known')
+    __slots__ = ('_holdings', '_revision', '_store', 'is_known')
 
     name = 'backend_servers'
 
     def __init__(self, holdings: Holdings, store: StoreConnection) -> None:
         self._holdings = holdings
         self._store = store
+        self._revision = 0
         self.is_known = False
 
-    async def list_all(self, *, may_be_stale: bool) -> int:
-        pages: list[Page] = []
-        next_name = ''
-        while next_name or not pages:
-            pages.append(
-                await self._store.list_backends(
-                    next_name, _READ_TIMEOUT_S, may_be_stale=may_be_stale
-                )
-            )
-            next_name = pages[-1].next_name
-        # Pages may be of different ages; the whole holds at the oldest.
-        revision = min(page.revision for page in pages)
-        entries = [entry for page in pages for entry in page.entries]
-        faults = [fault for page in pages for fault in page.faults]
-        self._holdings.take_listing(entries, faults, revision)
-        self.is_known = True
-        return revision
-
-    async def watch(self, revision: int, wait_s: float) -> int:
+    async def step(self) -> None:
+        if not self._revision:
+            await self._list_all()
+            return
         seen = await self._store.watch_backends(
-            revision, wait_s, wait_s + _OVERDUE_S
+            self._revision, _WAIT_S, _WAIT_S + _OVERDUE_S
         )
+        self._revision = max(self._revision, seen.revision)
         self._holdings.take_changes(seen.changes, seen.faults)
-        return seen.revision
 
-    def is_behind(self, revision: int) -> bool:
-        return revision < self._holdings.mirror.passed_on_revision
+    def start_over(self) -> None:
+        self._revision = 0
+
+    def is_behind(self) -> bool:
+        if not self._revision:
+            return False
+        return self._revision < self._holdings.mirror.passed_on_revision
+
+    async def _list_all(self) -> None:
+        page = await self._store.list_backends('', _READ_TIMEOUT_S)
+        # A later page may be newer; the watch starts at the first one.
+        revision = page.revision
+        entries: list[BackendEntry] = list(page.entries)
+        faults = list(page.faults)
+        while page.next_name:
+            page = await self._store.list_backends(
+                page.next_name, _READ_TIMEOUT_S
+            )
+            entries += page.entries
+            faults += page.faults
+        self._revision = revision
+        self._holdings.take_listing(entries, faults, revision)
+        self.is_known = True
 
 
 class _Watch:
-    """One subject, what has been read of it, and the call under way.
-
-    A listing may be a stale read: it costs a tenth, and hundreds of hosts list
-    when all start at once. The first watch goes on from there and returns at
-    once; with its answer the host holds what the store holds.
-    """
-
-    __slots__ = (
-        '_behind_s',
-        '_must_be_fresh',
-        '_revision',
-        'call',
-        'failures',
-        'is_confirmed',
-        'subject',
-    )
+    """One subject, the call under way and its failures."""
+
+    __slots__ = ('_behind_s', 'call', 'failures', 'subject')
 
     def __init__(self, subject: _Subject) -> None:
         self.subject = subject
         self.call: asyncio.Task[None] | None = None
         self.failures = 0
-        self.is_confirmed = False
         self._behind_s = 0.0
-        self._must_be_fresh = False
-        self._revision = 0
-
-    def is_listed(self) -> bool:
-        """Tell whether a listing has been read that a watch can go on from."""
-        return bool(self._revision)
-
-    def is_served(self) -> bool:
-        """Tell whether the store answers, and all that it holds is known."""
-        return self.subject.is_known and self.is_confirmed and not self.failures
 
     def is_silent(self, now_s: float) -> bool:
-        """Tell whether a watch under way has missed what others know.
-
-        A listing of a slow store takes longer than that, and has its timeouts.
-        """
-        if not self._revision or not self.subject.is_behind(self._revision):
+        """Tell whether a call under way has missed what others know."""
+        if not self.subject.is_behind():
             self._behind_s = 0
             return False
         self._behind_s = self._behind_s or now_s
         return now_s - self._behind_s > _BEHIND_S
 
-    def start_over(self) -> None:
-        """List everything again in the next call."""
-        self._revision = 0
-        self.is_confirmed = False
-
-    def forget_history(self) -> None:
-        """List again: the store cannot tell what changed since."""
-        # A stale listing may be of a time whose history has gone as well.
-        self._must_be_fresh = True
-        self.start_over()
-
     async def run_call(self) -> BaseException | None:
         """Make one call; return what ended it, None for a success.
 
         A call that ``check`` has given up ends with ``CancelledError``.
         """
         self._behind_s = 0
-        call = asyncio.get_running_loop().create_task(self._step())
+        call = asyncio.get_running_loop().create_task(self.subject.step())
         self.call = call
         try:
             await asyncio.wait((call,))
@@ -240,32 +201,11 @@
             return asyncio.CancelledError()
         return call.exception()
 
-    async def _step(self) -> None:
-        if not self._revision:
-            self._revision = await self.subject.list_all(
-                may_be_stale=not self._must_be_fresh
-            )
-            self.is_confirmed = self._must_be_fresh
-            self._must_be_fresh = False
-            return
-        wait_s = _WAIT_S if self.is_confirmed else _CONFIRM_WAIT_S
-        reached = await self.subject.watch(self._revision, wait_s)
-        self._revision = max(self._revision, reached)
-        self.is_confirmed = True
-
 
 class StoreFollower:
     """Reads the store while this host's role is to read it."""
 
-    __slots__ = (
-        '_holdings',
-        '_log',
-        '_loop',
-        '_may_wait',
-        '_rng',
-        '_watches',
-        'calls',
-    )
+    __slots__ = ('_holdings', '_log', '_loop', '_rng', '_watches', 'calls')
 
     def __init__(
         self,
@@ -273,15 +213,8 @@
         endpoint: Endpoint,
         log: DecisionLog,
         rng: random.Random,
-        *,
-        is_first: bool = True,
     ) -> None:
-        """Follow the store at ``endpoint``.
-
-        A host that ``is_first`` confirms its first listing at once; others
-        wait a moment to learn whether they have to read.
-        """
-        self._may_wait = not is_first
+        """Follow the store at ``endpoint``."""
         self._holdings = holdings
         self._log = log
         self._rng = rng
@@ -302,11 +235,10 @@
 
     def is_served(self) -> bool:
         """Tell whether the store answers the calls of this host."""
-        return all(watch.is_served() for watch in self._watches)
-
-    def is_listed(self) -> bool:
-        """Tell whether this host has read the store since it may."""
-        return all(watch.is_listed() for watch in self._watches)
+        return all(
+            watch.subject.is_known and not watch.failures
+            for watch in self._watches
+        )
 
     async def follow_backends(self) -> None:
         """Follow the backend servers until cancelled."""
@@ -342,9 +274,8 @@
 
     def _change_role(self, watch: _Watch, *, is_reader: bool) -> None:
         # What changed since the last call is read anew, not from history.
-        watch.start_over()
+        watch.subject.start_over()
         watch.failures = 0
-        self._may_wait = False
         self._log.write(
             'reader_role', subject=watch.subject.name, is_reader=is_reader
         )
@@ -355,13 +286,13 @@
             case None:
                 self._tell_regained(watch)
                 watch.failures = 0
-                await self._gather(watch)
+                await asyncio.sleep(_GATHER_S)
             case HistoryLostError():
                 self._log.write('history_lost', subject=watch.subject.name)
-                watch.forget_history()
+                watch.subject.start_over()
             case AnswerUnreadableError() as error:
                 # A watch would return the same answer again.
-                watch.start_over()
+                watch.subject.start_over()
                 watch.failures += 1
                 self._tell_lost(watch, error)
                 await self._pause_unreadable(watch.failures)
@@ -391,15 +322,6 @@
                 failures=watch.failures,
             )
 
-    async def _gather(self, watch: _Watch) -> None:
-        if watch.is_confirmed:
-            self._may_wait = False
-            await asyncio.sleep(_GATHER_S)
-        elif self._may_wait:
-            await asyncio.sleep(
-                self._rng.uniform(_CONFIRM_DELAY_MIN_S, _CONFIRM_DELAY_MAX_S)
-            )
-
     async def _pause(self, failures: int) -> None:
         doublings = min(failures, _MAX_DOUBLINGS)
         longest_s = min(_RETRY_MAX_S, _RETRY_MIN_S * 2**doublings)
--- a/src/currantshore/internal/entry/host.py
+++ b/src/currantshore/internal/entry/host.py
@@ -17,7 +17,6 @@
 from currantshore.internal.entry.peering import (
     TICK_INTERVAL_S as MIRROR_TICK_S,
 )
-from currantshore.internal.entry.readiness import Readiness
 from currantshore.internal.entry.settings import EntrySettings
 from currantshore.internal.hashing import stable_hash
 from currantshore.internal.httpserver import Page, PageServer
@@ -67,13 +66,13 @@
         '_loop',
         '_mirror',
         '_peering',
-        '_readiness',
         '_render_metrics',
         '_root',
         '_servers',
         '_settings',
         '_stop_requested',
         '_tasks',
+        '_was_ready',
     )
 
     def __init__(self, settings: EntrySettings, log: DecisionLog) -> None:
@@ -85,7 +84,7 @@
         self._stop_requested = asyncio.Event()
         self._is_leaving = False
         self._is_loading_metrics = False
-        self._readiness = Readiness()
+        self._was_ready = False
         self._render_metrics: Callable[[], bytes] | None = None
         self._servers: list[PageServer] = []
         self._tasks: set[asyncio.Task[None]] = set()
@@ -104,13 +103,8 @@
             self._core,
         )
         self._holdings = Holdings(self._core, self._mirror, log)
-        seeds = {one.host for one in settings.seed_addresses}
         self._follower = StoreFollower(
-            self._holdings,
-            settings.store_address,
-            log,
-            random.Random(seed),
-            is_first=not seeds or settings.packet_address.host in seeds,
+            self._holdings, settings.store_address, log, random.Random(seed)
         )
 
     async def start(self) -> None:
@@ -192,7 +186,6 @@
             actions = self._mirror.tick(
                 self._loop.time(),
                 is_served=self._follower.is_served(),
-                is_listed=self._follower.is_listed(),
                 is_leaving=self._is_leaving,
             )
             self._peering.send_all(actions.sendings)
@@ -201,7 +194,7 @@
 
     async def _load_log(self) -> None:
         latest_s = self._loop.time() + _LOAD_AFTER_S
-        while not self._readiness.is_reached and self._loop.time() < latest_s:
+        while not self._was_ready and self._loop.time() < latest_s:
             await asyncio.sleep(_LOAD_CHECK_S)
         await self._log.load()
 
@@ -215,15 +208,9 @@
         return quiet_s >= _QUIET_S
 
     def _tell_ready(self) -> Page:
-        was_ready = self._readiness.is_reached
-        now_s = self._loop.time()
-        may_be_ready = self._readiness.decide(
-            is_complete=self._holdings.is_complete(),
-            is_current=self._core.is_current(now_s),
-            now_s=now_s,
-        )
-        is_ready = may_be_ready and not self._is_leaving
-        if may_be_ready and not was_ready:
+        is_ready = self._holdings.is_complete() and not self._is_leaving
+        if is_ready and not self._was_ready:
+            self._was_ready = True
             self._log.write(
                 'ready', backends=len(self._core.directory.entries())
             )
@@ -273,7 +260,7 @@
             'known_hosts': self._mirror.known_hosts(),
             'is_reader': self._mirror.role.is_reader,
             'is_current': self._core.is_current(self._loop.time()),
-            'is_ready': self._readiness.is_reached and not self._is_leaving,
+            'is_ready': self._was_ready and not self._is_leaving,
         }
 
     def _start_once(self, work: Callable[[], Awaitable[None]]) -> None:
--- a/src/currantshore/internal/mirror/core.py
+++ b/src/currantshore/internal/mirror/core.py
@@ -119,7 +119,6 @@
         '_spread_s',
         '_steering',
         '_ticked_s',
-        '_was_served',
         'newest_revision',
         'newest_version',
         'passed_on_revision',
@@ -146,7 +145,6 @@
         self._has_unspread = False
         self._spread_s = 0.0
         self._ticked_s = 0.0
-        self._was_served = False
         self.newest_revision = 0
         self.newest_version = 0
         # The newest change that came from a host and not from the store.
@@ -250,14 +248,9 @@
         now_s: float,
         *,
         is_served: bool,
-        is_listed: bool,
         is_leaving: bool,
     ) -> MirrorActions:
-        """Decide who reads; send a digest when it is time for one.
-
-        ``is_listed`` tells whether this host has listed the store's objects,
-        ``is_served`` whether it has all that the store holds now.
-        """
+        """Decide who reads; send a digest when it is time for one."""
         actions = MirrorActions()
         self._beats.note_time(now_s, is_look=True)
         self._beats.expire(now_s)
@@ -265,13 +258,8 @@
             self._beats.by_host(),
             self._neighbours.of_zone(self._config.zone),
             is_served=is_served,
-            is_listed=is_listed,
             now_s=now_s,
         )
-        if is_served and not self._was_served:
-            # Hosts that have just started wait for the first beat.
-            self._ticked_s = 0
-        self._was_served = is_served
         self._steering.set_current_until(self._current_until())
         is_beating = self.role.is_reader and not is_leaving
         pause_s = BEAT_INTERVAL_S
--- a/src/currantshore/internal/mirror/readerrole.py
+++ b/src/currantshore/internal/mirror/readerrole.py
@@ -73,14 +73,12 @@
         zone_hosts: Iterable[Neighbour],
         *,
         is_served: bool,
-        is_listed: bool,
         now_s: float,
     ) -> bool:
         """Return whether to read from now on.
 
         ``beats`` are the newest beats by host, ``zone_hosts`` the known hosts
-        of the zone; ``is_served`` tells whether the store answers this host,
-        and ``is_listed`` whether it has had its first list.
+        of the zone; ``is_served`` tells whether the store answers this host.
         """
         self._started_s = self._started_s or now_s
         if is_served and self.is_reader:
@@ -93,7 +91,7 @@
             and now_s - heard.heard_s < _SILENCE_S
         ]
         if self.is_reader:
-            is_needless = is_listed and self._is_needless(zone_hosts, now_s)
+            is_needless = is_served and self._is_needless(zone_hosts, now_s)
             is_reader = not self._should_stop(near, now_s)
             self.is_reader = is_reader and not is_needless
         else:
--- a/src/currantshore/platform/store.py
+++ b/src/currantshore/platform/store.py
@@ -52,18 +52,9 @@
         """Return a client of the store at ``endpoint``."""
         return cls(HttpConnection.from_endpoint(endpoint))
 
-    async def list_backends(
-        self,
-        after: str,
-        timeout_s: float,
-        *,
-        may_be_stale: bool = False,
-    ) -> Page:
-        """Return the page of backend servers that follows name ``after``.
-
-        A listing that ``may_be_stale`` costs a tenth and may be seconds old.
-        """
-        query = _list_query(after, may_be_stale=may_be_stale)
+    async def list_backends(self, after: str, timeout_s: float) -> Page:
+        """Return the page of backend servers that follows name ``after``."""
+        query = f'?after={after}' if after else ''
         target = f'{_BACKENDS}{query}'
         page = await self._get(target, timeout_s, decode_backend_page)
         is_next = all(entry.backend_id > after for entry in page.entries)
@@ -87,16 +78,10 @@
         self._check_own(target, is_own=is_newer and seen.revision >= revision)
         return seen
 
-    async def read_configuration(
-        self,
-        timeout_s: float,
-        *,
-        may_be_stale: bool = False,
-    ) -> Configured:
-        """Return the newest configuration, or one that ``may_be_stale``."""
-        query = _list_query('', may_be_stale=may_be_stale)
+    async def read_configuration(self, timeout_s: float) -> Configured:
+        """Return the newest configuration."""
         return await self._get(
-            f'{_CONFIGURATION}{query}', timeout_s, decode_configuration_page
+            _CONFIGURATION, timeout_s, decode_configuration_page
         )
 
     async def watch_configuration(
@@ -140,15 +125,6 @@
             raise AnswerUnreadableError(f'{target}: {error}') from error
 
 
-def _list_query(after: str, *, may_be_stale: bool) -> str:
-    parts = []
-    if after:
-        parts.append(f'after={after}')
-    if may_be_stale:
-        parts.append('stale-ok=1')
-    return f'?{"&".join(parts)}' if parts else ''
-
-
 def _watch_target(path: str, revision: int, wait_s: float) -> str:
     wait_ms = round(wait_s * _MILLISECONDS)
     return f'{path}?watch={revision}&wait-ms={wait_ms}'
--- a/standins/objectstore.py
+++ b/standins/objectstore.py
@@ -10,7 +10,6 @@
 import argparse
 import asyncio
 import collections
-import copy
 import signal
 from typing import Any, Final, TypeAlias
 
@@ -64,7 +63,6 @@
             maxlen=history
         )
         self._forgotten = 0
-        self._stale: ObjectStore | None = None
         self._changed = asyncio.Condition()
 
     async def put(self, kind: str, name: str, spec: Any) -> int:
@@ -119,19 +117,6 @@
             'as-of': self.revision,
         }
 
-    def stale_page(self, kind: str, after: str) -> dict[str, Any]:
-        """Return the page of a stale read; see ``freeze_stale_reads``."""
-        if self._stale is None:
-            return self.page(kind, after)
-        return self._stale.page(kind, after)
-
-    def freeze_stale_reads(self) -> None:
-        """Answer stale reads with the data of now from here on."""
-        stale = ObjectStore(self._page_size)
-        stale.revision = self.revision
-        stale._objects = copy.deepcopy(self._objects)
-        self._stale = stale
-
     async def watch(
         self,
         kind: str,
@@ -222,11 +207,9 @@
     async def _list(self, request: web.Request) -> web.Response:
         kind = request.match_info['kind']
         if 'watch' not in request.query:
-            after = request.query.get('after', '')
-            if 'stale-ok' in request.query:
-                self.store.calls['stale'] += 1
-                return web.json_response(self.store.stale_page(kind, after))
-            return web.json_response(self.store.page(kind, after))
+            return web.json_response(
+                self.store.page(kind, request.query.get('after', ''))
+            )
         wait_ms = min(int(request.query.get('wait-ms', 0)), _MAX_WAIT_MS)
         revision = int(request.query['watch'])
         seen = await self.store.watch(kind, revision, wait_ms)
--- a/tests/contract/test_following.py
+++ b/tests/contract/test_following.py
@@ -179,11 +179,8 @@
         self.play(scenario)
 
 
-class StaleListingTests(FollowerKit):
-    """Guards against a host that starts with servers that have left.
-
-    The cheap listing of a start may be seconds old.
-    """
+class ListingTests(FollowerKit):
+    """Guards against a reader that never finishes a listing."""
 
     async def prepare(self, store):
         spec = {
@@ -195,53 +192,14 @@
         }
         for number in range(1, 6):
             await store.put('servers', f'i-{number}', spec)
-        store.freeze_stale_reads()
-        await store.remove('servers', 'i-2')
-        await store.put('servers', 'i-3', {**spec, 'state': 'draining'})
-
-    def test_a_host_is_served_only_with_what_the_store_holds_now(self):
-        async def scenario(_):
-            held = self.holdings.entries
-            self.assertEqual({'i-1', 'i-3', 'i-4', 'i-5'}, set(held))
-            self.assertTrue(held['i-3'].is_draining)
-
-        self.play(scenario)
-
-    def test_the_first_lists_are_the_cheap_ones(self):
-        async def scenario(store):
-            # Three pages of servers and one of the configuration.
-            self.assertEqual(4, store.calls['stale'])
-
-        self.play(scenario)
-
-    def test_an_old_listing_whose_history_has_gone_is_followed_by_a_new_one(
-        self,
-    ):
-        async def scenario(store):
-            self.assertEqual(
-                {'i-1', 'i-3', 'i-4', 'i-5'}, set(self.holdings.entries)
-            )
-            self.assertEqual(4, store.calls['stale'])
-
-        prepare = self.prepare
-
-        async def prepare_and_forget(store):
-            await prepare(store)
-            store.forget_history()
-
-        self.prepare = prepare_and_forget
-        self.play(scenario)
 
-    def test_after_history_was_lost_the_listing_is_no_stale_read(self):
+    def test_after_history_was_lost_everything_is_listed_again(self):
         async def scenario(store):
-            before = store.calls['stale']
             await store.put('other', 'one', {})
             store.forget_history()
-            await store.put('servers', 'i-9', {})
             await store.remove('servers', 'i-4')
             await asyncio.sleep(_STEP_S * 8)
             self.assertNotIn('i-4', self.holdings.entries)
-            self.assertEqual(before, store.calls['stale'])
 
         self.play(scenario)
 
--- a/tests/stateful/mirror_world.py
+++ b/tests/stateful/mirror_world.py
@@ -183,10 +183,7 @@
 
     def _tick(self, host):
         actions = host.mirror.tick(
-            self.now_s,
-            is_served=host.is_served,
-            is_listed=bool(host.seen_revision),
-            is_leaving=False,
+            self.now_s, is_served=host.is_served, is_leaving=False
         )
         self._send(host, actions.sendings)
 
