--- a/src/currantshore/internal/entry/host.py
+++ b/src/currantshore/internal/entry/host.py
@@ -17,6 +17,7 @@
 from currantshore.internal.entry.peering import (
     TICK_INTERVAL_S as MIRROR_TICK_S,
 )
+from currantshore.internal.entry.readiness import Readiness
 from currantshore.internal.entry.settings import EntrySettings
 from currantshore.internal.hashing import stable_hash
 from currantshore.internal.httpserver import Page, PageServer
@@ -42,10 +43,6 @@
 # Left of the platform's grace for the end of the process itself.
 _STOP_RESERVE_S: Final = 1.0
 
-# A host that holds everything waits this long for someone to vouch for it: two
-# rounds of digests. While the store is away nobody does.
-_CONFIRM_PATIENCE_S: Final = 1.0
-
 _STOP_CHECK_S: Final = 0.05
 _RESTART_DELAY_S: Final = 0.2
 
@@ -60,7 +57,6 @@
 
     __slots__ = (
         '_checker',
-        '_complete_s',
         '_core',
         '_follower',
         '_forwarder',
@@ -71,13 +67,13 @@
         '_loop',
         '_mirror',
         '_peering',
+        '_readiness',
         '_render_metrics',
         '_root',
         '_servers',
         '_settings',
         '_stop_requested',
         '_tasks',
-        '_was_ready',
     )
 
     def __init__(self, settings: EntrySettings, log: DecisionLog) -> None:
@@ -89,8 +85,7 @@
         self._stop_requested = asyncio.Event()
         self._is_leaving = False
         self._is_loading_metrics = False
-        self._was_ready = False
-        self._complete_s = 0.0
+        self._readiness = Readiness()
         self._render_metrics: Callable[[], bytes] | None = None
         self._servers: list[PageServer] = []
         self._tasks: set[asyncio.Task[None]] = set()
@@ -206,7 +201,7 @@
 
     async def _load_log(self) -> None:
         latest_s = self._loop.time() + _LOAD_AFTER_S
-        while not self._was_ready and self._loop.time() < latest_s:
+        while not self._readiness.is_reached and self._loop.time() < latest_s:
             await asyncio.sleep(_LOAD_CHECK_S)
         await self._log.load()
 
@@ -220,32 +215,21 @@
         return quiet_s >= _QUIET_S
 
     def _tell_ready(self) -> Page:
-        is_ready = self._may_be_ready() and not self._is_leaving
-        if is_ready and not self._was_ready:
-            self._was_ready = True
+        was_ready = self._readiness.is_reached
+        now_s = self._loop.time()
+        may_be_ready = self._readiness.decide(
+            is_complete=self._holdings.is_complete(),
+            is_current=self._core.is_current(now_s),
+            now_s=now_s,
+        )
+        is_ready = may_be_ready and not self._is_leaving
+        if may_be_ready and not was_ready:
             self._log.write(
                 'ready', backends=len(self._core.directory.entries())
             )
         status = _OK if is_ready else _UNAVAILABLE
         return Page(status, 'application/json', b'{}')
 
-    def _may_be_ready(self) -> bool:
-        """Tell whether this host may be sent packets.
-
-        What a host lists at its start may be seconds old and name servers that
-        have left; it waits to be told that it has what the store has, unless
-        nobody can tell it.
-        """
-        if self._was_ready:
-            return True
-        if not self._holdings.is_complete():
-            return False
-        now_s = self._loop.time()
-        self._complete_s = self._complete_s or now_s
-        if now_s - self._complete_s >= _CONFIRM_PATIENCE_S:
-            return True
-        return self._core.is_current(now_s)
-
     def _show_metrics(self) -> Page:
         if self._render_metrics is None:
             # Most hosts are never scraped, and the library takes 5 MB.
@@ -289,7 +273,7 @@
             'known_hosts': self._mirror.known_hosts(),
             'is_reader': self._mirror.role.is_reader,
             'is_current': self._core.is_current(self._loop.time()),
-            'is_ready': self._was_ready and not self._is_leaving,
+            'is_ready': self._readiness.is_reached and not self._is_leaving,
         }
 
     def _start_once(self, work: Callable[[], Awaitable[None]]) -> None:
--- a/src/currantshore/internal/steering/core.py
+++ b/src/currantshore/internal/steering/core.py
@@ -27,8 +27,8 @@
     Segment,
 )
 from currantshore.internal.steering.lateopenings import (
-    LATE_OPENING_S,
     LateOpenings,
+    late_after_s,
 )
 from currantshore.internal.steering.silence import Health
 from currantshore.internal.steering.unknowntokens import UnknownTokens
@@ -257,14 +257,14 @@
     def tick(self, now_s: float) -> TickActions:
         """Look at what is due; call it every ``TICK_INTERVAL_S``."""
         if self._is_held_up(now_s):
-            self._held_until_s = now_s + LATE_OPENING_S
+            self._held_until_s = now_s + self._late_after_s()
         if now_s - self._ticked_s > _STALL_S:
             self.watches.clear()
         self._ticked_s = now_s
         actions = TickActions()
         if now_s >= self._held_until_s:
             self.records.expire_openings(now_s)
-            actions.checks = self.watches.judge(now_s, LATE_OPENING_S)
+            actions.checks = self.watches.judge(now_s, self._late_after_s())
             actions.copies = self._copy_late(now_s)
         self.records.sweep(self.table.idle_timeout_s, now_s)
         if now_s - self._cleaned_s > _CLEAN_INTERVAL_S:
@@ -311,7 +311,7 @@
         record = self.records.begin(flow_key, backend, now_s)
         record.address_key = route.address_key
         record.datagram = datagram
-        self._late.add(flow_key, now_s)
+        self._late.add(flow_key, now_s + self._late_after_s())
         return backend
 
     def _place_copy(
@@ -346,6 +346,9 @@
             ratio = latency_s / route.target_latency_s
             self._gate.note_answer(backend.entry.service_id, ratio, now_s)
 
+    def _late_after_s(self) -> float:
+        return late_after_s(self.records.usual_opening_s.estimate)
+
     def _is_held_up(self, now_s: float) -> bool:
         return now_s - self._ticked_s > TICK_INTERVAL_S + _HELD_UP_S
 
--- a/src/currantshore/internal/steering/flowrecords.py
+++ b/src/currantshore/internal/steering/flowrecords.py
@@ -11,6 +11,7 @@
 from currantshore.internal.steering.busyshares import BusyShares
 from currantshore.internal.steering.directory import Backend
 from currantshore.internal.steering.latencies import LatencyCounts
+from currantshore.internal.steering.quantiles import RunningQuantile
 
 # A caller has at most this many packets in flight, so that a later one shows
 # that the server acknowledged some.
@@ -25,6 +26,10 @@
 # A caller gives an opening up after 1.4 s.
 OPENING_LIFE_S: Final = 1.5
 
+# Of openings that are answered, 19 in 20 take the usual time or less.
+_USUAL_SHARE: Final = 0.95
+_OPENING_PRIOR_S: Final = 0.015
+
 # Sequence and acknowledgement numbers are 32 bits wide and wrap.
 _NUMBER_MASK: Final = 0xFFFFFFFF
 _HALF_RANGE: Final = 0x80000000
@@ -101,6 +106,7 @@
         'busy',
         'busy_shares',
         'latencies',
+        'usual_opening_s',
     )
 
     def __init__(self) -> None:
@@ -113,6 +119,7 @@
         # the watches take out those that are idle.
         self.busy: dict[Backend, None] = {}
         self.busy_shares = BusyShares()
+        self.usual_opening_s = RunningQuantile(_USUAL_SHARE, _OPENING_PRIOR_S)
         self.latencies = {
             'opening': LatencyCounts(),
             'first_answer': LatencyCounts(),
@@ -262,6 +269,7 @@
             opened_s = tried.openings.pop(flow_key, None)
             if tried is record.backend and opened_s is not None:
                 self.latencies['opening'].add(now_s - opened_s)
+                self.usual_opening_s.note(now_s - opened_s)
         record.is_open = True
         record.datagram = b''
         record.acknowledged = segment.acknowledged
--- a/src/currantshore/internal/steering/lateopenings.py
+++ b/src/currantshore/internal/steering/lateopenings.py
@@ -11,9 +11,14 @@
 from collections.abc import Iterator
 from typing import Final
 
-# An opening is sent to a second server when nothing has come back by then:
-# several times the round trip over two links between zones and to the caller.
-LATE_OPENING_S: Final = 0.045
+# An opening is late after this many times what 19 of 20 openings take here,
+# which is a round trip to the caller by way of the server.
+_LATE_FACTOR: Final = 3.0
+
+# Bounds of it: three ticks, within which a host may be late itself, and the
+# time after which the caller repeats the opening.
+LEAST_LATE_S: Final = 0.045
+_MOST_LATE_S: Final = 0.2
 
 # Copies of openings for each opening, and the copies of a first burst: a
 # server that is down gets a quarter of the openings of a small zone.
@@ -21,6 +26,14 @@
 _COPY_BURST: Final = 20.0
 
 
+def late_after_s(usual_opening_s: float) -> float:
+    """Return the age from which an opening counts as late.
+
+    ``usual_opening_s`` is what most openings take at this host.
+    """
+    return min(max(usual_opening_s * _LATE_FACTOR, LEAST_LATE_S), _MOST_LATE_S)
+
+
 class LateOpenings:
     """Openings in the order in which they become late, and the budget."""
 
@@ -35,9 +48,12 @@
         """Add an opening's part to the budget of copies."""
         self._left = min(self._left + _COPY_RATIO, _COPY_BURST)
 
-    def add(self, flow_key: bytes, now_s: float) -> None:
-        """Remember an opening that was sent now."""
-        self._due.append((now_s + LATE_OPENING_S, flow_key))
+    def add(self, flow_key: bytes, late_s: float) -> None:
+        """Remember an opening that is late from ``late_s`` on.
+
+        Times that are out of order by milliseconds wait for the ones before.
+        """
+        self._due.append((late_s, flow_key))
 
     def take_late(self, now_s: float) -> Iterator[bytes]:
         """Yield, and forget, the flows whose openings are late."""
--- a/tests/cover/test_watching.py
+++ b/tests/cover/test_watching.py
@@ -112,3 +112,38 @@
         for revision in range(2, 6):
             core.change_backends([make_entry(1, revision)], revision, 100.0)
         self.assertEqual(1, len(core.directory.near(SERVICE)))
+
+
+class LateOpeningTests(testtools.TestCase):
+    """Guards against a site whose callers are further away than usual."""
+
+    def open_flows(self, core, count, latency_s):
+        now_s = 100.0
+        for number in range(count):
+            key = b'flow-%d' % number
+            backend = core.on_opening(key, ADDRESS, b'syn', now_s)
+            opened = make_segment(number_of(backend))
+            core.on_segment(key, ADDRESS, opened, now_s + latency_s)
+            now_s += latency_s
+        return now_s
+
+    def copies_within(self, core, now_s, seconds):
+        core.tick(now_s)
+        core.on_opening(b'new', ADDRESS, b'syn', now_s)
+        copies = []
+        for step in range(1, round(seconds / 0.015) + 1):
+            copies.extend(core.tick(now_s + step * 0.015).copies)
+        return copies
+
+    def test_an_opening_is_late_by_what_openings_take_here(self):
+        core = make_core([make_entry(1), make_entry(2)])
+        now_s = self.open_flows(core, 200, 0.05)
+        self.assertEqual([], self.copies_within(core, now_s, 0.12))
+        core = make_core([make_entry(1), make_entry(2)])
+        now_s = self.open_flows(core, 200, 0.05)
+        self.assertEqual(1, len(self.copies_within(core, now_s, 0.21)))
+
+    def test_near_callers_get_a_copy_after_three_ticks(self):
+        core = make_core([make_entry(1), make_entry(2)])
+        now_s = self.open_flows(core, 200, 0.005)
+        self.assertEqual(1, len(self.copies_within(core, now_s, 0.12)))
