Let a setting replace each mechanism by its plain baseline

Cause: what a mechanism is worth could be measured only by patching the code, and operators had no way to switch off one that misbehaves. Ruled out: a flag for each mechanism (18 settings); branches at the places where a mechanism acts. Change: CURRANTSHORE_SWITCHED_OFF names mechanisms; each is chosen once, where its decision is built. An unknown name is an error that lists the known ones.

--- a/src/currantshore/internal/entry/checking.py
+++ b/src/currantshore/internal/entry/checking.py
@@ -9,6 +9,11 @@
 from currantshore.internal.entry.events import FlowsLost
 from currantshore.internal.steering.core import SteeringCore
 from currantshore.internal.steering.directory import Backend
+from currantshore.internal.steering.mechanisms import (
+    NOTHING_OFF,
+    Mechanism,
+    SwitchedOff,
+)
 
 # A server answers a connection attempt within two delays of the longest link,
 # 50 ms between regions; five times that is not reached for want of an answer.
@@ -24,9 +29,15 @@
 
     channel = 'checks'
 
-    def __init__(self, core: SteeringCore, log: DecisionLog) -> None:
+    def __init__(
+        self,
+        core: SteeringCore,
+        log: DecisionLog,
+        switched_off: SwitchedOff = NOTHING_OFF,
+    ) -> None:
         """Report outcomes to ``core``."""
         self._core = core
+        self._has_control = Mechanism.CHECK_CONTROL not in switched_off
         self._log = log
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -49,7 +60,7 @@
         control = self._core.watches.control_of(backend)
         is_reachable, is_control_reachable = await asyncio.gather(
             self._reach(backend, _CHECK_TIMEOUT_S),
-            self._reach(control, _CONTROL_TIMEOUT_S),
+            self._reach_control(control),
         )
         resets = self._core.on_checked(
             backend,
@@ -69,6 +80,11 @@
         if resets:
             self.fire(FlowsLost(resets), 'packets')
 
+    async def _reach_control(self, control: Backend | None) -> bool:
+        if not self._has_control:
+            return True
+        return await self._reach(control, _CONTROL_TIMEOUT_S)
+
     async def _reach(self, backend: Backend | None, timeout_s: float) -> bool:
         if backend is None:
             return False
--- a/src/currantshore/internal/entry/host.py
+++ b/src/currantshore/internal/entry/host.py
@@ -23,6 +23,7 @@
 from currantshore.internal.mirror.core import MirrorConfig, MirrorCore
 from currantshore.internal.process.runtime import LoopRoot
 from currantshore.internal.steering.core import SteeringCore
+from currantshore.internal.steering.mechanisms import Mechanism
 from currantshore.wire import Endpoint
 
 READY_PATH: Final = '/readyz'
@@ -62,6 +63,8 @@
         '_holdings',
         '_is_leaving',
         '_is_loading_metrics',
+        '_linger_s',
+        '_load_after_s',
         '_log',
         '_loop',
         '_mirror',
@@ -84,21 +87,28 @@
         self._stop_requested = asyncio.Event()
         self._is_leaving = False
         self._is_loading_metrics = False
+        is_lingering = Mechanism.STOP_LINGER not in settings.switched_off
+        self._linger_s = _LINGER_S if is_lingering else 0
+        is_late = Mechanism.LATE_LIBRARIES not in settings.switched_off
+        self._load_after_s = _LOAD_AFTER_S if is_late else 0
         self._was_ready = False
         self._render_metrics: Callable[[], bytes] | None = None
         self._servers: list[PageServer] = []
         self._tasks: set[asyncio.Task[None]] = set()
         started_ms = round(time.time() * _MILLISECONDS)
         seed = stable_hash(settings.host_id, started_ms)
-        self._core = SteeringCore.from_config(settings.zone, seed)
+        self._core = SteeringCore.from_config(
+            settings.zone, seed, settings.switched_off
+        )
         self._mirror = MirrorCore.from_config(
             MirrorConfig(
                 settings.packet_address.host,
                 settings.zone,
                 round(settings.link_mbit_per_s),
                 started_ms,
-                tuple(one.host for one in settings.seed_addresses),
+                _seed_hosts(settings),
                 seed,
+                settings.switched_off,
             ),
             self._core,
         )
@@ -125,9 +135,9 @@
         self._peering = Peering.open_at(
             self._holdings, internal, self._log
         ).register(self._root)
-        self._checker = ConnectionChecker(self._core, self._log).register(
-            self._root
-        )
+        self._checker = ConnectionChecker(
+            self._core, self._log, settings.switched_off
+        ).register(self._root)
         pages = {**self._peering.pages(), METRICS_PATH: self._show_metrics}
         await self._serve(internal, pages)
         if settings.metrics_address is not None:
@@ -136,7 +146,12 @@
             )
         self._start(self._run_mirror)
         self._start_once(self._load_log)
-        self._log.write('started', host_id=settings.host_id, zone=settings.zone)
+        self._log.write(
+            'started',
+            host_id=settings.host_id,
+            zone=settings.zone,
+            switched_off=sorted(one.value for one in settings.switched_off),
+        )
 
     def request_stop(self) -> None:
         """Begin a graceful shutdown; later calls change nothing."""
@@ -150,9 +165,7 @@
         if settings == self._settings:
             return
         self._settings = settings
-        self._mirror.change_seeds(
-            tuple(one.host for one in settings.seed_addresses)
-        )
+        self._mirror.change_seeds(_seed_hosts(settings))
         self._log.write('settings_changed', host_id=settings.host_id)
 
     async def run(self) -> None:
@@ -193,7 +206,7 @@
             await asyncio.sleep(MIRROR_TICK_S)
 
     async def _load_log(self) -> None:
-        latest_s = self._loop.time() + _LOAD_AFTER_S
+        latest_s = self._loop.time() + self._load_after_s
         while not self._was_ready and self._loop.time() < latest_s:
             await asyncio.sleep(_LOAD_CHECK_S)
         await self._log.load()
@@ -202,7 +215,7 @@
         now_s = self._loop.time()
         if now_s - started_s >= longest_s:
             return True
-        if now_s - started_s < _LINGER_S:
+        if now_s - started_s < self._linger_s:
             return False
         quiet_s: float = now_s - self._forwarder.last_packet_s
         return quiet_s >= _QUIET_S
@@ -284,3 +297,10 @@
             task=where,
             error=f'{type(error).__name__}: {error}',
         )
+
+
+def _seed_hosts(settings: EntrySettings) -> tuple[str, ...]:
+    # A host that begins with no other is never told of one, and tells nobody.
+    if Mechanism.HOST_MESSAGES in settings.switched_off:
+        return ()
+    return tuple(one.host for one in settings.seed_addresses)
--- a/src/currantshore/internal/entry/settings.py
+++ b/src/currantshore/internal/entry/settings.py
@@ -11,6 +11,7 @@
 from typing import Any, Final, TypeAlias
 
 from currantshore.errors import SettingsError
+from currantshore.internal.steering.mechanisms import Mechanism, SwitchedOff
 from currantshore.wire import Endpoint
 
 _PREFIX: Final = 'CURRANTSHORE_'
@@ -28,6 +29,7 @@
     ``internal_ports`` is the first and the last port that hosts may use among
     themselves, the same on every host. Of ``seed_addresses`` only the IP
     numbers count; they are other hosts to begin with, and may be stale.
+    ``switched_off`` names the mechanisms whose baseline takes their place.
     """
 
     host_id: str
@@ -40,6 +42,7 @@
     store_address: Endpoint
     link_mbit_per_s: float
     grace_s: float
+    switched_off: SwitchedOff
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,6 +92,13 @@
     return seconds
 
 
+_MECHANISMS: Final = ', '.join(sorted(one.value for one in Mechanism))
+
+
+def _parse_mechanisms(text: str) -> SwitchedOff:
+    return frozenset(Mechanism(part) for part in text.split(',') if part)
+
+
 # Texts by name, and a sentence for each fault.
 _Given: TypeAlias = tuple[dict[str, str], list[str]]
 
@@ -123,6 +133,9 @@
     ),
     # The platform's time between the request to stop and the kill.
     'grace_s': _Spec(_parse_seconds, 'a number of seconds up to 3600', '6'),
+    'switched_off': _Spec(
+        _parse_mechanisms, f'a list of {_MECHANISMS}, or empty', ''
+    ),
 }
 
 
--- a/src/currantshore/internal/mirror/core.py
+++ b/src/currantshore/internal/mirror/core.py
@@ -27,13 +27,14 @@
     unpack_changes,
 )
 from currantshore.internal.mirror.neighbours import Neighbours
-from currantshore.internal.mirror.readerrole import ReaderRole
+from currantshore.internal.mirror.readerrole import build_role
 from currantshore.internal.steering.catalog import (
     BackendEntry,
     BackendRemoved,
     RoutingTable,
 )
 from currantshore.internal.steering.core import SteeringCore
+from currantshore.internal.steering.mechanisms import NOTHING_OFF, SwitchedOff
 
 # A host passes a new beat of its zone on at once, with its own digest, unless
 # it has sent one within this time: a beat crosses the zone in milliseconds, and
@@ -74,6 +75,7 @@
     started_ms: int
     seeds: tuple[str, ...]
     seed: int
+    switched_off: SwitchedOff = NOTHING_OFF
 
 
 class Sending(NamedTuple):
@@ -149,8 +151,9 @@
         self.newest_version = 0
         # The newest change that came from a host and not from the store.
         self.passed_on_revision = 0
-        self.role = ReaderRole(
-            Neighbour(config.host, config.zone, config.link_mbit_per_s)
+        self.role = build_role(
+            Neighbour(config.host, config.zone, config.link_mbit_per_s),
+            config.switched_off,
         )
 
     @classmethod
--- a/src/currantshore/internal/mirror/readerrole.py
+++ b/src/currantshore/internal/mirror/readerrole.py
@@ -16,11 +16,12 @@
 """
 
 from collections.abc import Iterable, Mapping
-from typing import Final
+from typing import Final, Protocol
 
 from currantshore.internal.hashing import stable_hash
 from currantshore.internal.mirror.beats import BEAT_INTERVAL_S, HeardBeat
 from currantshore.internal.mirror.messages import Beat, Neighbour
+from currantshore.internal.steering.mechanisms import Mechanism, SwitchedOff
 
 # Beats reach a zone of 20 hosts in 1 to 2 s.
 _SILENCE_S: Final = 5 * BEAT_INTERVAL_S
@@ -46,6 +47,54 @@
 _START_S: Final = 3.0
 
 
+class Role(Protocol):
+    """Tells whether a host reads, and when the store last answered it."""
+
+    is_reader: bool
+    served_s: float
+
+    def decide(
+        self,
+        beats: Mapping[str, HeardBeat],
+        zone_hosts: Iterable[Neighbour],
+        *,
+        is_served: bool,
+        now_s: float,
+    ) -> bool:
+        """Return whether to read from now on."""
+
+
+def build_role(own: Neighbour, switched_off: SwitchedOff) -> Role:
+    """Build the role that is in force."""
+    if Mechanism.ZONE_READERS in switched_off:
+        return EveryHostReads()
+    return ReaderRole(own)
+
+
+class EveryHostReads:
+    """Reads the store whatever others do; the baseline."""
+
+    __slots__ = ('is_reader', 'served_s')
+
+    def __init__(self) -> None:
+        """Start as a reader."""
+        self.is_reader = True
+        self.served_s = 0.0
+
+    def decide(
+        self,
+        beats: Mapping[str, HeardBeat],
+        zone_hosts: Iterable[Neighbour],
+        *,
+        is_served: bool,
+        now_s: float,
+    ) -> bool:
+        """Return that it reads."""
+        if is_served:
+            self.served_s = now_s
+        return True
+
+
 class ReaderRole:
     """Decides whether this host reads the store."""
 
--- a/src/currantshore/internal/steering/busyshares.py
+++ b/src/currantshore/internal/steering/busyshares.py
@@ -7,7 +7,9 @@
 for each request.
 """
 
-from typing import Final
+from typing import Final, Protocol
+
+from currantshore.internal.steering.mechanisms import Mechanism, SwitchedOff
 
 # Prior, before flows have been looked at: one flow in ten is at work. It has
 # given way to what was seen after some dozens of looks.
@@ -18,6 +20,36 @@
 _HALVED_LOOKS: Final = 2000.0
 
 
+class FlowShares(Protocol):
+    """Tells how much of a request an open flow counts for."""
+
+    def note(self, service_id: str, *, is_at_work: bool) -> None:
+        """Count a look at an open flow of a service."""
+
+    def share(self, service_id: str) -> float:
+        """Return the share of a service's open flows that are at work."""
+
+
+def build_flow_shares(switched_off: SwitchedOff) -> FlowShares:
+    """Build what is in force."""
+    if Mechanism.BUSY_SHARES in switched_off:
+        return EqualShares()
+    return BusyShares()
+
+
+class EqualShares:
+    """Counts each open flow as a request; the baseline (least connections)."""
+
+    __slots__ = ()
+
+    def note(self, service_id: str, *, is_at_work: bool) -> None:
+        """Learn nothing."""
+
+    def share(self, service_id: str) -> float:
+        """Return 1."""
+        return 1
+
+
 class BusyShares:
     """Counts looks at open flows, by service, with falling weights."""
 
--- a/src/currantshore/internal/steering/choosing.py
+++ b/src/currantshore/internal/steering/choosing.py
@@ -8,17 +8,23 @@
 with cost for a zone that is not its own).
 """
 
+import dataclasses
 import random
 from collections.abc import Collection, Sequence
-from typing import Final
+from typing import Final, Protocol, Self
 
-from currantshore.internal.steering.busyshares import BusyShares
+from currantshore.internal.steering.busyshares import FlowShares
 from currantshore.internal.steering.catalog import RequestKind
 from currantshore.internal.steering.directory import (
     LAPSE_GRACE_S,
     Backend,
     Standing,
 )
+from currantshore.internal.steering.mechanisms import (
+    NOTHING_OFF,
+    Mechanism,
+    SwitchedOff,
+)
 
 # A cold server takes 1.6 times as long for the same work on both users' sites.
 _COLD_SLOWNESS: Final = 1.6
@@ -44,19 +50,104 @@
 _MAX_FAR: Final = 8
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadCosts:
+    """What counts against a server besides its requests for each slot.
+
+    ``cold_slowness`` is a factor, ``lapse_grace_s`` how long a server may get
+    new flows after its entry has lapsed; the rest are requests for each slot.
+    """
+
+    cold_slowness: float = _COLD_SLOWNESS
+    crossing_load: float = _CROSSING_LOAD
+    bulk_crossing_load: float = _BULK_CROSSING_LOAD
+    suspect_load: float = _SUSPECT_LOAD
+    lapse_grace_s: float = LAPSE_GRACE_S
+
+    @classmethod
+    def from_config(cls, switched_off: SwitchedOff) -> Self:
+        """Build the costs that are left."""
+        neutral: dict[str, float] = {}
+        if Mechanism.COLD_COSTS in switched_off:
+            neutral['cold_slowness'] = 1
+        if Mechanism.ZONE_COSTS in switched_off:
+            neutral.update(crossing_load=0, bulk_crossing_load=0)
+        if Mechanism.SILENCE_COSTS in switched_off:
+            neutral['suspect_load'] = 0
+        if Mechanism.LAPSE_GRACE in switched_off:
+            neutral['lapse_grace_s'] = 0
+        return cls(**neutral)
+
+
+class Chooser(Protocol):
+    """Chooses the server of a new flow."""
+
+    def choose(
+        self,
+        near: Sequence[Backend],
+        far: Sequence[Backend],
+        kind: RequestKind,
+        tried: Collection[Backend],
+        now_s: float,
+    ) -> Backend | None:
+        """Return a server that was not ``tried``; None where there is none."""
+
+
+def build_chooser(
+    zone: str,
+    rng: random.Random,
+    busy_shares: FlowShares,
+    switched_off: SwitchedOff = NOTHING_OFF,
+) -> Chooser:
+    """Build the chooser of a host of ``zone``."""
+    costs = LoadCosts.from_config(switched_off)
+    if Mechanism.LOAD_PLACEMENT in switched_off:
+        return RandomChooser(rng, costs)
+    return BackendChooser(zone, rng, busy_shares, costs)
+
+
+class RandomChooser:
+    """Chooses at random; the baseline of placement by load."""
+
+    __slots__ = ('_costs', '_rng')
+
+    def __init__(self, rng: random.Random, costs: LoadCosts) -> None:
+        """Draw from ``rng``."""
+        self._rng = rng
+        self._costs = costs
+
+    def choose(
+        self,
+        near: Sequence[Backend],
+        far: Sequence[Backend],
+        kind: RequestKind,
+        tried: Collection[Backend],
+        now_s: float,
+    ) -> Backend | None:
+        """Return any server that may get a new flow and was not ``tried``."""
+        usable = [
+            one
+            for one in (*near, *far)
+            if one not in tried and _may_open(one, self._costs, now_s)
+        ]
+        return self._rng.choice(usable) if usable else None
+
+
 class BackendChooser:
     """Chooses by load; ties are broken at random."""
 
-    __slots__ = ('_busy_shares', '_rng', '_zone')
+    __slots__ = ('_busy_shares', '_costs', '_rng', '_zone')
 
     def __init__(
         self,
         zone: str,
         rng: random.Random,
-        busy_shares: BusyShares,
+        busy_shares: FlowShares,
+        costs: LoadCosts,
     ) -> None:
         """Choose for a host of ``zone``, by what its flows have shown."""
         self._busy_shares = busy_shares
+        self._costs = costs
         self._zone = zone
         self._rng = rng
 
@@ -100,7 +191,9 @@
         if len(candidates) > 2 * count:
             drawn = self._rng.sample(candidates, 2 * count)
         usable = [
-            one for one in drawn if one not in tried and _may_open(one, now_s)
+            one
+            for one in drawn
+            if one not in tried and _may_open(one, self._costs, now_s)
         ]
         if len(usable) > count:
             return self._rng.sample(usable, count)
@@ -108,27 +201,32 @@
 
     def _load(self, backend: Backend, kind: RequestKind, now_s: float) -> float:
         entry = backend.entry
+        costs = self._costs
         asked = len(backend.asked)
         quiet_flows = max(backend.flow_count - asked, 0)
         share = self._busy_shares.share(entry.service_id)
         requests = asked + len(backend.openings) + quiet_flows * share
         load = requests / entry.slots
         if now_s < backend.warm_at_s:
-            load = (load + 1 / entry.slots) * _COLD_SLOWNESS
+            load = (load + 1 / entry.slots) * costs.cold_slowness
         if entry.zone != self._zone:
-            load += _BULK_CROSSING_LOAD if kind.is_bulk else _CROSSING_LOAD
+            load += _crossing_load(costs, kind)
         if now_s < backend.suspect_until_s or backend.is_replaced:
-            load += _SUSPECT_LOAD
+            load += costs.suspect_load
         if backend.standing is Standing.LAPSED:
             load += _LAPSED_LOAD
         return load
 
 
-def _may_open(backend: Backend, now_s: float) -> bool:
+def _crossing_load(costs: LoadCosts, kind: RequestKind) -> float:
+    return costs.bulk_crossing_load if kind.is_bulk else costs.crossing_load
+
+
+def _may_open(backend: Backend, costs: LoadCosts, now_s: float) -> bool:
     match backend.standing:
         case Standing.READY:
             return True
         case Standing.LAPSED:
-            return now_s - backend.lapsed_s < LAPSE_GRACE_S
+            return now_s - backend.lapsed_s < costs.lapse_grace_s
         case Standing.DRAINING:
             return False
--- a/src/currantshore/internal/steering/core.py
+++ b/src/currantshore/internal/steering/core.py
@@ -1,12 +1,12 @@
 """Decides what happens to each packet of a flow that carries a token."""
 
 import dataclasses
+import math
 import random
 from collections.abc import Iterable, Sequence
 from typing import Final, NamedTuple, Self, TypeAlias
 
 from currantshore.codes import FlowRefusal
-from currantshore.internal.steering.openinggate import OpeningGate
 from currantshore.internal.steering.catalog import (
     BackendEntry,
     BackendRemoved,
@@ -15,7 +15,7 @@
     RoutingTable,
     ServiceShare,
 )
-from currantshore.internal.steering.choosing import BackendChooser
+from currantshore.internal.steering.choosing import build_chooser
 from currantshore.internal.steering.directory import (
     Backend,
     BackendDirectory,
@@ -30,10 +30,16 @@
     LateOpenings,
     late_after_s,
 )
+from currantshore.internal.steering.mechanisms import (
+    NOTHING_OFF,
+    Mechanism,
+    SwitchedOff,
+)
+from currantshore.internal.steering.openinggate import build_gate
 from currantshore.internal.steering.routesinforce import RoutesInForce
 from currantshore.internal.steering.silence import Health
 from currantshore.internal.steering.unknowntokens import UnknownTokens
-from currantshore.internal.steering.waiting import WaitShares
+from currantshore.internal.steering.waiting import build_waits
 from currantshore.internal.steering.watching import BackendWatches
 
 # A tick that comes this much late was held up, and so were the answers that
@@ -97,6 +103,7 @@
         '_chooser',
         '_cleaned_s',
         '_current_until_s',
+        '_doubt_after_s',
         '_gate',
         '_held_until_s',
         '_late',
@@ -110,29 +117,45 @@
         'watches',
     )
 
-    def __init__(self, zone: str, rng: random.Random) -> None:
+    def __init__(
+        self,
+        zone: str,
+        rng: random.Random,
+        switched_off: SwitchedOff,
+    ) -> None:
         """Prefer ``from_config``."""
         self._rng = rng
-        self._late = LateOpenings()
-        self._gate = OpeningGate(rng)
+        self._late = LateOpenings.from_config(switched_off)
+        self._gate = build_gate(rng, switched_off)
+        is_doubting = Mechanism.STALL_DOUBT not in switched_off
+        self._doubt_after_s = _STALL_S if is_doubting else math.inf
         self._held_until_s = 0.0
         self._cleaned_s = 0.0
         self._ticked_s = 0.0
-        self._unknown = UnknownTokens()
-        self._waits = WaitShares()
+        self._unknown = UnknownTokens.from_config(switched_off)
+        self._waits = build_waits(switched_off)
         self.directory = BackendDirectory(zone)
-        self.records = FlowRecords()
-        self._chooser = BackendChooser(zone, rng, self.records.busy_shares)
-        self.watches = BackendWatches(self.directory, self.records)
+        self.records = FlowRecords(switched_off)
+        self._chooser = build_chooser(
+            zone, rng, self.records.busy_shares, switched_off
+        )
+        self.watches = BackendWatches(
+            self.directory, self.records, switched_off
+        )
         self._routes = RoutesInForce()
         # Until when what is held is what the store holds. After that,
         # as at a start, what is missing is no reason to refuse.
         self._current_until_s = 0.0
 
     @classmethod
-    def from_config(cls, zone: str, seed: int) -> Self:
+    def from_config(
+        cls,
+        zone: str,
+        seed: int,
+        switched_off: SwitchedOff = NOTHING_OFF,
+    ) -> Self:
         """Build the core of a host in ``zone``."""
-        return cls(zone, random.Random(seed))
+        return cls(zone, random.Random(seed), switched_off)
 
     @property
     def table(self) -> RoutingTable:
@@ -231,7 +254,7 @@
             self.records.drop(flow_key)
             return backend
         # A verdict is as old as the last tick: this host may have stood still.
-        is_judged = now_s - self._ticked_s < _STALL_S
+        is_judged = now_s - self._ticked_s < self._doubt_after_s
         if is_judged and self.watches.health(backend) is Health.DEAD:
             self.records.drop(flow_key)
             return FlowRefusal.BACKEND_SERVER_GONE
@@ -264,7 +287,7 @@
         """Look at what is due; call it every ``TICK_INTERVAL_S``."""
         if self._is_held_up(now_s):
             self._held_until_s = now_s + self._late_after_s()
-        if now_s - self._ticked_s > _STALL_S:
+        if now_s - self._ticked_s > self._doubt_after_s:
             self.watches.clear()
         self._ticked_s = now_s
         actions = TickActions()
--- a/src/currantshore/internal/steering/flowrecords.py
+++ b/src/currantshore/internal/steering/flowrecords.py
@@ -8,9 +8,10 @@
 from collections.abc import Iterator, Sequence
 from typing import Final, NamedTuple
 
-from currantshore.internal.steering.busyshares import BusyShares
+from currantshore.internal.steering.busyshares import build_flow_shares
 from currantshore.internal.steering.directory import Backend
 from currantshore.internal.steering.latencies import LatencyCounts
+from currantshore.internal.steering.mechanisms import NOTHING_OFF, SwitchedOff
 from currantshore.internal.steering.quantiles import RunningQuantile
 
 # A caller has at most this many packets in flight, so that a later one shows
@@ -109,7 +110,7 @@
         'usual_opening_s',
     )
 
-    def __init__(self) -> None:
+    def __init__(self, switched_off: SwitchedOff = NOTHING_OFF) -> None:
         """Start without flows."""
         self._records: dict[bytes, FlowRecord] = {}
         self._sweep: Iterator[bytes] = iter(())
@@ -118,7 +119,7 @@
         # Servers with an opening or a request that they have not answered;
         # the watches take out those that are idle.
         self.busy: dict[Backend, None] = {}
-        self.busy_shares = BusyShares()
+        self.busy_shares = build_flow_shares(switched_off)
         self.usual_opening_s = RunningQuantile(_USUAL_SHARE, _OPENING_PRIOR_S)
         self.latencies = {
             'opening': LatencyCounts(),
--- a/src/currantshore/internal/steering/lateopenings.py
+++ b/src/currantshore/internal/steering/lateopenings.py
@@ -9,7 +9,9 @@
 
 import collections
 from collections.abc import Iterator
-from typing import Final
+from typing import Final, Self
+
+from currantshore.internal.steering.mechanisms import Mechanism, SwitchedOff
 
 # An opening is late after this many times what 19 of 20 openings take here,
 # which is a round trip to the caller by way of the server.
@@ -37,16 +39,23 @@
 class LateOpenings:
     """Openings in the order in which they become late, and the budget."""
 
-    __slots__ = ('_due', '_left')
+    __slots__ = ('_due', '_left', '_most')
 
-    def __init__(self) -> None:
-        """Start with the budget of a first burst."""
+    def __init__(self, most: float = _COPY_BURST) -> None:
+        """Start with a budget of ``most`` copies, which it never exceeds."""
         self._due: collections.deque[tuple[float, bytes]] = collections.deque()
-        self._left = _COPY_BURST
+        self._most = most
+        self._left = most
+
+    @classmethod
+    def from_config(cls, switched_off: SwitchedOff) -> Self:
+        """Build with a budget of nothing where copies are switched off."""
+        is_off = Mechanism.OPENING_COPIES in switched_off
+        return cls(0) if is_off else cls()
 
     def earn(self) -> None:
         """Add an opening's part to the budget of copies."""
-        self._left = min(self._left + _COPY_RATIO, _COPY_BURST)
+        self._left = min(self._left + _COPY_RATIO, self._most)
 
     def add(self, flow_key: bytes, late_s: float) -> None:
         """Remember an opening that is late from ``late_s`` on.
--- /dev/null
+++ b/src/currantshore/internal/steering/mechanisms.py
@@ -0,0 +1,38 @@
+"""Mechanisms that can be switched off, each with a plain baseline.
+
+Operators switch one off when it misbehaves, and an ablation measures what it
+is worth. Each is chosen once, where its decision is built; docs/OPERATIONS.md
+lists the baselines.
+"""
+
+import enum
+from typing import Final, TypeAlias
+
+
+@enum.unique
+class Mechanism(enum.Enum):
+    """A mechanism, by the name that settings use."""
+
+    LOAD_PLACEMENT = 'load_placement'
+    BUSY_SHARES = 'busy_shares'
+    ZONE_COSTS = 'zone_costs'
+    COLD_COSTS = 'cold_costs'
+    SILENCE_COSTS = 'silence_costs'
+    LAPSE_GRACE = 'lapse_grace'
+    OPENING_COPIES = 'opening_copies'
+    OPENING_GATE = 'opening_gate'
+    WAIT_SHARES = 'wait_shares'
+    SERVER_CHECKS = 'server_checks'
+    CHECK_CONTROL = 'check_control'
+    REPLACED_ADDRESSES = 'replaced_addresses'
+    STALL_DOUBT = 'stall_doubt'
+    UNKNOWN_TOKENS = 'unknown_tokens'
+    ZONE_READERS = 'zone_readers'
+    HOST_MESSAGES = 'host_messages'
+    STOP_LINGER = 'stop_linger'
+    LATE_LIBRARIES = 'late_libraries'
+
+
+SwitchedOff: TypeAlias = frozenset[Mechanism]
+
+NOTHING_OFF: Final[SwitchedOff] = frozenset()
--- a/src/currantshore/internal/steering/openinggate.py
+++ b/src/currantshore/internal/steering/openinggate.py
@@ -19,9 +19,10 @@
 import math
 import random
 from collections.abc import Container
-from typing import Final, TypeAlias
+from typing import Final, Protocol, TypeAlias
 
 from currantshore.internal.steering.catalog import Route
+from currantshore.internal.steering.mechanisms import Mechanism, SwitchedOff
 
 # Answers that are looked at, no older than this, and how many are needed: a
 # fifth of a second of a host in a small site, a second of one in a large site.
@@ -77,6 +78,52 @@
         self.sum_per_s += 1 / _USUAL_OVER_S
 
 
+class Gate(Protocol):
+    """Decides which new flows may open."""
+
+    def note_answer(
+        self,
+        service_id: str,
+        wait_share: float,
+        now_s: float,
+    ) -> None:
+        """Take the share of waiting of an answer; 1 is just in time."""
+
+    def admits(self, route: Route, service_id: str, now_s: float) -> bool:
+        """Tell whether a new flow of ``route`` may open at the service."""
+
+    def forget_gone(self, routes: Container[bytes], now_s: float) -> None:
+        """Forget routes that are not in ``routes``, and silent services."""
+
+
+def build_gate(rng: random.Random, switched_off: SwitchedOff) -> Gate:
+    """Build the gate that is in force."""
+    if Mechanism.OPENING_GATE in switched_off:
+        return OpenGate()
+    return OpeningGate(rng)
+
+
+class OpenGate:
+    """Admits every flow and leaves refusals to the servers; the baseline."""
+
+    __slots__ = ()
+
+    def note_answer(
+        self,
+        service_id: str,
+        wait_share: float,
+        now_s: float,
+    ) -> None:
+        """Learn nothing."""
+
+    def admits(self, route: Route, service_id: str, now_s: float) -> bool:
+        """Admit."""
+        return True
+
+    def forget_gone(self, routes: Container[bytes], now_s: float) -> None:
+        """Hold nothing that could be forgotten."""
+
+
 class OpeningGate:
     """Refuses openings for services whose answers have become late."""
 
--- a/src/currantshore/internal/steering/silence.py
+++ b/src/currantshore/internal/steering/silence.py
@@ -88,16 +88,16 @@
         now_s: float,
         late_opening_s: float,
         *,
-        has_gone: bool,
+        is_replaced: bool,
     ) -> bool:
         """Judge a server by its flows; tell whether to try a connection.
 
         ``late_opening_s`` is the age from which an unanswered opening is a
-        sign, ``has_gone`` whether its address belongs to another server.
+        sign, ``is_replaced`` whether its address belongs to another server.
         """
         if self.health is Health.DEAD:
             is_silent = backend.last_answer_s <= self._since_s
-            if not has_gone and self._is_stale(backend, now_s):
+            if not is_replaced and self._is_stale(backend, now_s):
                 is_silent = False
         else:
             is_silent = _is_silent(backend, now_s, late_opening_s)
--- a/src/currantshore/internal/steering/waiting.py
+++ b/src/currantshore/internal/steering/waiting.py
@@ -10,9 +10,10 @@
 import collections
 import dataclasses
 from collections.abc import Container
-from typing import Final
+from typing import Final, Protocol
 
 from currantshore.internal.steering.catalog import Route
+from currantshore.internal.steering.mechanisms import Mechanism, SwitchedOff
 from currantshore.internal.steering.quantiles import RunningQuantile
 
 # One answer in ten meets a server without a queue, but for a flood.
@@ -50,6 +51,36 @@
         return min(quantile.estimate for quantile in self.quantiles)
 
 
+class Waits(Protocol):
+    """Tells how near an answer's latency is to being late."""
+
+    def note(self, route: Route, latency_s: float, now_s: float) -> float:
+        """Take an answer's latency; return its share, 1 for just in time."""
+
+    def forget_gone(self, routes: Container[bytes]) -> None:
+        """Forget routes that are not in ``routes``."""
+
+
+def build_waits(switched_off: SwitchedOff) -> Waits:
+    """Build what is in force."""
+    if Mechanism.WAIT_SHARES in switched_off:
+        return LatencyShares()
+    return WaitShares()
+
+
+class LatencyShares:
+    """Takes all of a latency for waiting; the baseline."""
+
+    __slots__ = ()
+
+    def note(self, route: Route, latency_s: float, now_s: float) -> float:
+        """Return the latency in parts of the route's target."""
+        return latency_s / route.target_latency_s
+
+    def forget_gone(self, routes: Container[bytes]) -> None:
+        """Hold nothing that could be forgotten."""
+
+
 class WaitShares:
     """Follows what each route takes without a queue."""
 
--- a/src/currantshore/internal/steering/watching.py
+++ b/src/currantshore/internal/steering/watching.py
@@ -16,6 +16,11 @@
     Standing,
 )
 from currantshore.internal.steering.flowrecords import FlowRecords
+from currantshore.internal.steering.mechanisms import (
+    NOTHING_OFF,
+    Mechanism,
+    SwitchedOff,
+)
 from currantshore.internal.steering.silence import Health, SilenceWatch
 
 # Servers that are looked at for a control when no server has answered this
@@ -33,16 +38,25 @@
 class BackendWatches:
     """The silence watch of each server that has been in traffic."""
 
-    __slots__ = ('_directory', '_records', '_watches')
+    __slots__ = (
+        '_directory',
+        '_may_check',
+        '_may_replace',
+        '_records',
+        '_watches',
+    )
 
     def __init__(
         self,
         directory: BackendDirectory,
         records: FlowRecords,
+        switched_off: SwitchedOff = NOTHING_OFF,
     ) -> None:
         """Watch the servers of ``directory`` by the flows of ``records``."""
         self._directory = directory
         self._records = records
+        self._may_check = Mechanism.SERVER_CHECKS not in switched_off
+        self._may_replace = Mechanism.REPLACED_ADDRESSES not in switched_off
         self._watches: dict[str, SilenceWatch] = {}
 
     def watch(self, backend: Backend) -> SilenceWatch:
@@ -62,17 +76,7 @@
         busy = self._records.busy
         for backend in tuple(busy):
             watch = self.watch(backend)
-            # A server of which only the entry is missing may be cut off from
-            # the store and alive.
-            has_gone = backend.is_replaced
-            may_try = watch.judge(
-                backend, now_s, late_opening_s, has_gone=has_gone
-            )
-            if has_gone and watch.health is Health.SUSPECT:
-                watch.confirm(now_s)
-                found.replaced.append(backend)
-            elif may_try:
-                found.to_try.append(backend)
+            self._judge_one(backend, watch, now_s, late_opening_s, found)
             is_idle = not (backend.openings or backend.asked)
             if is_idle and watch.health is Health.ANSWERING:
                 busy.pop(backend)
@@ -106,6 +110,26 @@
         for backend_id in self._watches.keys() - known_ids:
             self._watches.pop(backend_id)
 
+    def _judge_one(
+        self,
+        backend: Backend,
+        watch: SilenceWatch,
+        now_s: float,
+        late_opening_s: float,
+        found: Judgement,
+    ) -> None:
+        # A server of which only the entry is missing may be cut off from the
+        # store and alive.
+        is_replaced = backend.is_replaced and self._may_replace
+        may_try = watch.judge(
+            backend, now_s, late_opening_s, is_replaced=is_replaced
+        )
+        if is_replaced and watch.health is Health.SUSPECT:
+            watch.confirm(now_s)
+            found.replaced.append(backend)
+        elif may_try and self._may_check:
+            found.to_try.append(backend)
+
     def _may_control(self, other: Backend, backend: Backend) -> bool:
         if other is backend or other.standing is Standing.LAPSED:
             return False
--- a/tests/cover/test_choosing.py
+++ b/tests/cover/test_choosing.py
@@ -6,7 +6,7 @@
 
 from currantshore.internal.steering.busyshares import BusyShares
 from currantshore.internal.steering.catalog import RequestKind
-from currantshore.internal.steering.choosing import BackendChooser
+from currantshore.internal.steering.choosing import build_chooser
 from currantshore.internal.steering.directory import Backend
 from tests.cover.steering_kit import SERVICE, ZONE, make_entry
 
@@ -31,7 +31,7 @@
     def setUp(self):
         super().setUp()
         self.shares = BusyShares()
-        self.chooser = BackendChooser(ZONE, random.Random(1), self.shares)
+        self.chooser = build_chooser(ZONE, random.Random(1), self.shares)
 
     def choose(self, near, far=(), kind=RequestKind.IDEMPOTENT, tried=()):
         return self.chooser.choose(near, far, kind, tried, _NOW_S)
--- a/tests/cover/test_entry_settings.py
+++ b/tests/cover/test_entry_settings.py
@@ -12,6 +12,7 @@
     load_entry_settings,
     variable_name,
 )
+from currantshore.internal.steering.mechanisms import Mechanism
 from currantshore.wire import Endpoint
 
 _GIVEN = {
@@ -57,6 +58,17 @@
         )
         self.assertEqual(6, settings.grace_s)
 
+    def test_mechanisms_that_are_switched_off_are_read_by_name(self):
+        settings = self.load({**_GIVEN, 'switched_off': 'opening_gate'})
+        self.assertEqual({Mechanism.OPENING_GATE}, settings.switched_off)
+        self.assertEqual(set(), self.load(_GIVEN).switched_off)
+
+    def test_an_unknown_mechanism_is_named_with_the_known_ones(self):
+        (problem,) = self.problems({**_GIVEN, 'switched_off': 'opening_gat'})
+        self.assertIn("'opening_gat'", problem)
+        for mechanism in Mechanism:
+            self.assertIn(mechanism.value, problem)
+
     def test_a_flag_wins_over_the_file(self):
         settings = self.load(_GIVEN, '--zone', 'eastside', '--grace-s=2.5')
         self.assertEqual(('eastside', 2.5), (settings.zone, settings.grace_s))
