Count servers whose answers take long by as many times their requests

Cause: a host counts its own requests at a server. Ruled out: a longer memory of requests in progress (they have ended); reading the servers' health endpoints (they mislead). Change: an answer is compared with the middle one of its route; a server whose mean is above 1.5 times that counts for as many times its requests, and half as much each 2 s without an answer. Switched off by slow_costs.

--- a/src/currantshore/internal/steering/choosing.py
+++ b/src/currantshore/internal/steering/choosing.py
@@ -25,6 +25,7 @@
     Mechanism,
     SwitchedOff,
 )
+from currantshore.internal.steering.slowness import slowness
 
 # A cold server takes 1.6 times as long for the same work on both users' sites.
 _COLD_SLOWNESS: Final = 1.6
@@ -54,8 +55,9 @@
 class LoadCosts:
     """What counts against a server besides its requests for each slot.
 
-    ``cold_slowness`` is a factor, ``lapse_grace_s`` how long a server may get
-    new flows after its entry has lapsed; the rest are requests for each slot.
+    ``cold_slowness`` and ``slow_weight`` are factors, ``lapse_grace_s`` is how
+    long a server may get new flows after its entry has lapsed; the rest are
+    requests for each slot.
     """
 
     cold_slowness: float = _COLD_SLOWNESS
@@ -63,6 +65,7 @@
     bulk_crossing_load: float = _BULK_CROSSING_LOAD
     suspect_load: float = _SUSPECT_LOAD
     lapse_grace_s: float = LAPSE_GRACE_S
+    slow_weight: float = 1
 
     @classmethod
     def from_config(cls, switched_off: SwitchedOff) -> Self:
@@ -76,8 +79,17 @@
             neutral['suspect_load'] = 0
         if Mechanism.LAPSE_GRACE in switched_off:
             neutral['lapse_grace_s'] = 0
+        if Mechanism.SLOW_COSTS in switched_off:
+            neutral['slow_weight'] = 0
         return cls(**neutral)
 
+    def slowness(self, backend: Backend, now_s: float) -> float:
+        """Return how many times as long as others the server takes."""
+        slow = 1 + (slowness(backend, now_s) - 1) * self.slow_weight
+        if now_s < backend.warm_at_s:
+            return max(slow, self.cold_slowness)
+        return slow
+
 
 class Chooser(Protocol):
     """Chooses the server of a new flow."""
@@ -207,8 +219,9 @@
         share = self._busy_shares.share(entry.service_id)
         requests = asked + len(backend.openings) + quiet_flows * share
         load = requests / entry.slots
-        if now_s < backend.warm_at_s:
-            load = (load + 1 / entry.slots) * costs.cold_slowness
+        slow = costs.slowness(backend, now_s)
+        if slow > 1:
+            load = (load + 1 / entry.slots) * slow
         if entry.zone != self._zone:
             load += _crossing_load(costs, kind)
         if now_s < backend.suspect_until_s or backend.is_replaced:
--- a/src/currantshore/internal/steering/core.py
+++ b/src/currantshore/internal/steering/core.py
@@ -38,6 +38,7 @@
 from currantshore.internal.steering.openinggate import build_gate
 from currantshore.internal.steering.routesinforce import RoutesInForce
 from currantshore.internal.steering.silence import Health
+from currantshore.internal.steering.slowness import Slownesses
 from currantshore.internal.steering.unknowntokens import UnknownTokens
 from currantshore.internal.steering.waiting import build_waits
 from currantshore.internal.steering.watching import BackendWatches
@@ -109,6 +110,7 @@
         '_late',
         '_rng',
         '_routes',
+        '_slownesses',
         '_ticked_s',
         '_unknown',
         '_waits',
@@ -134,6 +136,7 @@
         self._ticked_s = 0.0
         self._unknown = UnknownTokens.from_config(switched_off)
         self._waits = build_waits(switched_off)
+        self._slownesses = Slownesses()
         self.directory = BackendDirectory(zone)
         self.records = FlowRecords(switched_off)
         self._chooser = build_chooser(
@@ -354,6 +357,7 @@
         # What an upload takes is the time of its own packets.
         if route is None or route.kind is RequestKind.UPLOAD:
             return
+        self._slownesses.note(route, backend, latency_s, now_s)
         if route.target_latency_s > 0:
             share = self._waits.note(route, latency_s, now_s)
             self._gate.note_answer(backend.entry.service_id, share, now_s)
@@ -435,6 +439,7 @@
         self.directory.forget_old(now_s)
         self._gate.forget_gone(self.table.routes, now_s)
         self._waits.forget_gone(self.table.routes)
+        self._slownesses.forget_gone(self.table.routes)
         known = {
             backend.entry.backend_id
             for backend in self.directory.all_backends()
--- a/src/currantshore/internal/steering/directory.py
+++ b/src/currantshore/internal/steering/directory.py
@@ -35,6 +35,7 @@
 
     ``asked`` holds the time of each request in progress by flow; ``openings``
     the time of each opening that has had no answer. Both are in order of time.
+    ``latency_ratio`` is how long its answers take, in parts of what is usual.
     ``is_replaced`` tells whether another server has its address now,
     ``is_shadowed`` whether another one has its token.
     """
@@ -46,6 +47,8 @@
         'is_replaced',
         'is_shadowed',
         'last_answer_s',
+        'latency_noted_s',
+        'latency_ratio',
         'latency_s',
         'lapsed_s',
         'openings',
@@ -64,6 +67,8 @@
         self.last_answer_s = now_s
         self.suspect_until_s = 0.0
         self.latency_s = 0.0
+        self.latency_ratio = 1.0
+        self.latency_noted_s = now_s
         self.is_replaced = False
         self.is_shadowed = False
         self.update(entry, now_s)
@@ -224,6 +229,7 @@
             backend.openings.clear()
             backend.last_answer_s = now_s
             backend.suspect_until_s = 0
+            backend.latency_ratio = 1
         if _place(backend.entry) != _place(entry):
             self._is_index_stale = True
         backend.update(entry, now_s)
--- a/src/currantshore/internal/steering/mechanisms.py
+++ b/src/currantshore/internal/steering/mechanisms.py
@@ -17,6 +17,7 @@
     BUSY_SHARES = 'busy_shares'
     ZONE_COSTS = 'zone_costs'
     COLD_COSTS = 'cold_costs'
+    SLOW_COSTS = 'slow_costs'
     SILENCE_COSTS = 'silence_costs'
     LAPSE_GRACE = 'lapse_grace'
     OPENING_COPIES = 'opening_copies'
--- a/tests/cover/test_mechanisms.py
+++ b/tests/cover/test_mechanisms.py
@@ -73,13 +73,14 @@
             frozenset(
                 (
                     Mechanism.COLD_COSTS,
+                    Mechanism.SLOW_COSTS,
                     Mechanism.ZONE_COSTS,
                     Mechanism.SILENCE_COSTS,
                     Mechanism.LAPSE_GRACE,
                 )
             )
         )
-        self.assertEqual(LoadCosts(1, 0, 0, 0, 0), costs)
+        self.assertEqual(LoadCosts(1, 0, 0, 0, 0, 0), costs)
 
 
 class RefusalTests(testtools.TestCase):
