Let packets wait for a start's first list

Cause: a host that starts reads packets before it knows any server, and drops them; their callers send them again after 200 ms. Change: the socket is bound at once and read when the first list and configuration are there, or after 0.2 s.

--- a/src/currantshore/internal/entry/forwarding.py
+++ b/src/currantshore/internal/entry/forwarding.py
@@ -71,18 +71,18 @@
         address: Endpoint,
         log: DecisionLog,
     ) -> Self:
-        """Bind to ``address`` and begin to read; raises ``OSError``."""
+        """Bind to ``address``, so that packets wait; raises ``OSError``."""
         forwarder = cls(core, address, log)
         opened = forwarder._socket
         opened.setblocking(False)
         for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
             opened.setsockopt(socket.SOL_SOCKET, option, _BUFFER_SIZE_BYTES)
         opened.bind((address.host, address.port))
-        forwarder._loop.add_reader(opened.fileno(), forwarder.read_batch)
         return forwarder
 
-    async def run_ticks(self) -> None:
-        """Tick the core until cancelled."""
+    async def run(self) -> None:
+        """Read packets and tick the core until cancelled."""
+        self._loop.add_reader(self._socket.fileno(), self.read_batch)
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
             # What waits in the socket may be the answers whose lack a tick
--- a/src/currantshore/internal/entry/holdings.py
+++ b/src/currantshore/internal/entry/holdings.py
@@ -34,6 +34,7 @@
         '_loop',
         '_steering',
         '_told_faults',
+        'completed',
         'configuration_body',
         'is_listed',
         'mirror',
@@ -53,6 +54,8 @@
         self._loop = asyncio.get_running_loop()
         self.mirror = mirror
         self.configuration_body = b''
+        # Set once packets can be forwarded.
+        self.completed = asyncio.Event()
         self.is_listed = False
         self.unreadable: Counter[str] = Counter()
         self._told_faults: set[str] = set()
@@ -75,6 +78,7 @@
         if not self.mirror.take_configuration(table):
             return
         self.configuration_body = body
+        self._note_complete()
         self.tell_unreadable('configuration', faults, origin)
         self._log.write(
             'configuration_in_force',
@@ -122,6 +126,7 @@
             return
         # The first list is one fact, not one for each server.
         self.is_listed = True
+        self._note_complete()
         self.tell_changed((), origin, faults)
         self._log.write(
             'backend_servers_listed',
@@ -130,6 +135,10 @@
             origin=origin,
         )
 
+    def _note_complete(self) -> None:
+        if self.is_complete():
+            self.completed.set()
+
     def tell_unreadable(
         self,
         kind: str,
--- a/src/currantshore/internal/entry/host.py
+++ b/src/currantshore/internal/entry/host.py
@@ -1,6 +1,7 @@
 """One entry process: its core, components and tasks."""
 
 import asyncio
+import contextlib
 import importlib
 import random
 import time
@@ -43,6 +44,10 @@
 # Left of the platform's grace for the end of the process itself.
 _STOP_RESERVE_S: Final = 1.0
 
+# Packets that reach a host before its first list wait in the socket for this
+# long: their callers send them again after 200 ms.
+_FIRST_LIST_S: Final = 0.2
+
 _STOP_CHECK_S: Final = 0.05
 _RESTART_DELAY_S: Final = 0.2
 
@@ -128,7 +133,7 @@
         await self._serve(
             settings.ready_address, {READY_PATH: self._tell_ready}
         )
-        self._start(self._forwarder.run_ticks)
+        self._start(self._forward)
         internal = Endpoint(
             settings.packet_address.host, settings.internal_ports[0]
         )
@@ -194,6 +199,12 @@
     ) -> None:
         self._servers.append(await PageServer.start_at(address, pages))
 
+    async def _forward(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_FIRST_LIST_S):
+                await self._holdings.completed.wait()
+        await self._forwarder.run()
+
     async def _run_mirror(self) -> None:
         while True:
             actions = self._mirror.tick(
--- /dev/null
+++ b/tests/cover/test_holdings.py
@@ -0,0 +1,28 @@
+"""When a host holds what it needs to forward packets."""
+
+import asyncio
+
+import testtools
+
+from currantshore.internal.entry.decisionlog import DecisionLog
+from currantshore.internal.entry.holdings import Holdings
+from currantshore.internal.mirror.core import MirrorConfig, MirrorCore
+from currantshore.internal.steering.core import SteeringCore
+from tests.cover.steering_kit import ZONE, make_entry, make_table
+
+
+class CompletionTests(testtools.TestCase):
+    """Guards against packets that are read before they can be forwarded."""
+
+    def test_a_host_is_complete_with_a_list_and_a_configuration(self):
+        asyncio.run(self.complete())
+
+    async def complete(self):
+        steering = SteeringCore.from_config(ZONE, 1)
+        config = MirrorConfig('10.1.0.1', ZONE, 100, 1, (), 1)
+        mirror = MirrorCore.from_config(config, steering)
+        holdings = Holdings(steering, mirror, DecisionLog())
+        holdings.take_listing([make_entry(1)], (), 1)
+        self.assertFalse(holdings.completed.is_set())
+        holdings.take_configuration(make_table(), b'', 'store')
+        self.assertTrue(holdings.completed.is_set())
--- a/tests/process/test_forwarder.py
+++ b/tests/process/test_forwarder.py
@@ -95,6 +95,31 @@
         self.assertEqual(_WAITING, len(self.read(server)))
 
 
+class StartTests(ForwarderTestCase):
+    """Guards against openings of a start that their callers must repeat."""
+
+    def test_what_came_before_the_first_list_is_forwarded(self):
+        asyncio.run(self.start_under_load())
+
+    async def start_under_load(self):
+        server = self.bind()
+        forwarder = self.open_between()
+        caller = self.bind()
+        for number in range(_WAITING):
+            caller.sendto(opening_of(number), self.address)
+        await asyncio.sleep(0.05)
+        now_s = asyncio.get_running_loop().time()
+        endpoint = Endpoint(*server.getsockname())
+        self.core.list_backends([make_entry(1, endpoint=endpoint)], 2, now_s)
+        running = asyncio.ensure_future(forwarder.run())
+        async with asyncio.timeout(_GIVEN_UP_S):
+            while forwarder.counts['openings'] < _WAITING:
+                await asyncio.sleep(0.01)
+        running.cancel()
+        forwarder.close()
+        self.assertEqual(_WAITING, len(self.read(server)))
+
+
 class ReusedAddressTests(ForwarderTestCase):
     """Guards against a caller that waits for a server that was replaced."""
 
@@ -110,7 +135,7 @@
         now_s = asyncio.get_running_loop().time()
         self.core.change_backends([owned], 5, now_s)
         caller = self.bind(_CALLER, self.address[1])
-        ticking = asyncio.ensure_future(forwarder.run_ticks())
+        ticking = asyncio.ensure_future(forwarder.run())
         caller.sendto(request_of(backend_token('i-00000001')), self.address)
         async with asyncio.timeout(_GIVEN_UP_S):
             told = []
