Refuse the less urgent openings of a flood first

Change: each more urgent priority of a service is refused from the share of waiting at which the one below it is refused altogether.

--- a/src/currantshore/internal/steering/openinggate.py
+++ b/src/currantshore/internal/steering/openinggate.py
@@ -11,7 +11,7 @@
 usual rate of their route are refused at random, the more the longer answers
 wait, so that queues shrink and slots still never run empty. A few slow servers
 do not move the middle one, and no kind of request is refused for the flood of
-another.
+another. The less urgent are refused first.
 """
 
 import collections
@@ -39,6 +39,11 @@
 _FIRST_REFUSED_SHARE: Final = 0.45
 _ALL_REFUSED_SHARE: Final = 0.55
 
+# Each more urgent priority is refused from where the one below it is refused
+# altogether, so that a flood of all kinds is paid for by the least urgent; no
+# priority waits for the whole of its target.
+_MAX_RANK: Final = 3
+
 # The usual rate of a route is that of about the last ten seconds without a
 # refusal: a flood is seconds long, a day's change of traffic minutes.
 _USUAL_OVER_S: Final = 10.0
@@ -127,12 +132,14 @@
 class OpeningGate:
     """Refuses openings for services whose answers have become late."""
 
-    __slots__ = ('_answers', '_rates', '_rng')
+    __slots__ = ('_answers', '_priorities', '_rates', '_rng')
 
     def __init__(self, rng: random.Random) -> None:
         """Draw from ``rng`` which openings are refused."""
         self._answers: dict[str, collections.deque[_Answer]] = {}
         self._rates: dict[bytes, _RouteRate] = {}
+        # Priorities of the routes that have opened flows, by service.
+        self._priorities: dict[str, set[int]] = {}
         self._rng = rng
 
     def note_answer(
@@ -152,10 +159,12 @@
         """Tell whether a new flow of ``route`` may open at the service."""
         ratio = self._middle_share(service_id, now_s)
         is_flooded = ratio > _FIRST_REFUSED_SHARE
+        rank = self._rank(route, service_id)
         if self._is_usual(route.address_key, now_s, is_flooded):
             return True
         reach = _ALL_REFUSED_SHARE - _FIRST_REFUSED_SHARE
-        return self._rng.random() > (ratio - _FIRST_REFUSED_SHARE) / reach
+        first = _FIRST_REFUSED_SHARE + rank * reach
+        return self._rng.random() > (ratio - first) / reach
 
     def forget_gone(self, routes: Container[bytes], now_s: float) -> None:
         """Forget routes that are not in ``routes``, and silent services."""
@@ -165,11 +174,19 @@
         for service_id, answers in tuple(self._answers.items()):
             if now_s - answers[-1][0] > _ANSWER_LIFE_S:
                 self._answers.pop(service_id)
+                self._priorities.pop(service_id, None)
 
     def sizes(self) -> tuple[int, int]:
         """Return how many routes and services are remembered."""
         return len(self._rates), len(self._answers)
 
+    def _rank(self, route: Route, service_id: str) -> int:
+        known = self._priorities.setdefault(service_id, set())
+        known.add(route.priority)
+        # A higher number is less urgent.
+        less_urgent = sum(1 for one in known if one > route.priority)
+        return min(less_urgent, _MAX_RANK)
+
     def _is_usual(
         self,
         address_key: bytes,
--- a/tests/cover/test_openinggate.py
+++ b/tests/cover/test_openinggate.py
@@ -94,6 +94,47 @@
         self.assertEqual(1, self.play(4, 4 * _USUAL_PER_S, _IDLE_RATIO))
 
 
+class UrgencyTests(GateKit):
+    """Guards against urgent work that pays for a flood of all kinds."""
+
+    def setUp(self):
+        super().setUp()
+        self.feed = make_route()
+        self.checkout = dataclasses.replace(
+            make_route(OTHER_ADDRESS), priority=self.feed.priority - 1
+        )
+        for _ in range(20):
+            self.play(1, _USUAL_PER_S, _IDLE_RATIO, self.feed)
+            self.play(1, _USUAL_PER_S, _IDLE_RATIO, self.checkout)
+
+    def flood(self, ratio):
+        """Return which part of each route's flood is admitted."""
+        admitted = []
+        for route in (self.feed, self.checkout):
+            self.play(1, 8 * _USUAL_PER_S, ratio, route, 80)
+            admitted.append(self.play(3, 8 * _USUAL_PER_S, ratio, route, 80))
+        return admitted
+
+    def test_the_less_urgent_are_refused_before_the_urgent(self):
+        feed, checkout = self.flood(0.54)
+        self.assertLess(feed, 0.3)
+        self.assertEqual(1, checkout)
+
+    def test_a_flood_that_fills_the_queues_is_refused_whatever_its_urgency(
+        self,
+    ):
+        for admitted in self.flood(_FULL_RATIO):
+            self.assertLess(admitted, 0.25)
+
+    def test_one_priority_alone_is_refused_as_the_least_urgent(self):
+        gate = OpeningGate(random.Random(1))
+        self.gate = gate
+        self.play(20, _USUAL_PER_S, _IDLE_RATIO, self.checkout)
+        self.play(1, 8 * _USUAL_PER_S, 0.54, self.checkout, 80)
+        admitted = self.play(3, 8 * _USUAL_PER_S, 0.54, self.checkout, 80)
+        self.assertLess(admitted, 0.3)
+
+
 class ForgettingTests(GateKit):
     """Guards against a host that grows with every route that ever was."""
 
