--- a/tests/cover/test_operations_page.py
+++ b/tests/cover/test_operations_page.py
@@ -6,6 +6,7 @@
 import testtools
 
 from currantshore.codes import FlowRefusal
+from currantshore.internal.steering.mechanisms import Mechanism
 
 _ROOT = pathlib.Path(__file__).parents[2]
 _PAGE = _ROOT / 'docs' / 'OPERATIONS.md'
@@ -46,3 +47,8 @@
         told = {one.name.lower() for one in FlowRefusal if one.is_told}
         missing = {name for name in told if f'`{name}`' not in page}
         self.assertEqual(set(), missing)
+
+    def test_each_mechanism_that_can_be_switched_off_has_a_row(self):
+        page = _PAGE.read_text()
+        for mechanism in Mechanism:
+            self.assertIn(f'| `{mechanism.value}` |', page)
