Replay a flood at 9, 80 and 195 hosts through their gates

Cause: the gate looks at 8 answers of one second of one host, and whether it acts in a large fleet was only guessed. Ruled out: estimates told between hosts, until a replay shows a need.

--- /dev/null
+++ b/tests/cover/test_gate_sizes.py
@@ -0,0 +1,73 @@
+"""The gate in a flood of four times the usual load, at 9, 80 and 195 hosts."""
+
+import dataclasses
+
+import testtools
+
+from currantshore.internal.steering.mechanisms import Mechanism
+from tests.cover.queue_world import Load, QueueWorld, Server
+from tests.cover.steering_kit import ADDRESS, OTHER_ADDRESS, make_route
+
+# Hosts, and requests a second at each: larger fleets have smaller hosts.
+_FLEETS = ((9, 20), (80, 9), (195, 3.6))
+
+_SLOTS = 3
+_QUEUE = 12
+_FEED_WORK_S = 0.04
+_CHECKOUT_WORK_S = 0.052
+_FEED_SHARE = 0.78
+_CHECKOUT_SHARE = 0.22
+
+# One server for so many requests a second: a third of what it can work on.
+_PER_SERVER_PER_S = 26
+
+_WAY_S = 0.03
+_TIMES = 4
+
+FEED = make_route(ADDRESS)
+CHECKOUT = dataclasses.replace(
+    make_route(OTHER_ADDRESS), priority=FEED.priority - 1
+)
+
+
+class FleetTests(testtools.TestCase):
+    """Guards against a gate that few answers at each host leave blind."""
+
+    def flood(self, hosts, per_host_per_s, *switched_off):
+        """Return outcomes of feed and checkouts after a second of flood."""
+        usual_per_s = hosts * per_host_per_s
+        count = round(usual_per_s / _PER_SERVER_PER_S)
+        servers = [Server(_SLOTS, _QUEUE) for _ in range(count)]
+        world = QueueWorld(hosts, servers, _WAY_S, frozenset(switched_off))
+        world.play(12, *self.loads(usual_per_s))
+        world.play(1, *self.loads(usual_per_s * _TIMES))
+        return world.play(3, *self.loads(usual_per_s * _TIMES))
+
+    def loads(self, per_s):
+        return (
+            Load(FEED, per_s * _FEED_SHARE, _FEED_WORK_S),
+            Load(CHECKOUT, per_s * _CHECKOUT_SHARE, _CHECKOUT_WORK_S),
+        )
+
+    def test_most_of_what_servers_can_work_on_is_served_in_time(self):
+        for hosts, per_host_per_s in _FLEETS:
+            gated = self.flood(hosts, per_host_per_s)
+            ungated = self.flood(hosts, per_host_per_s, Mechanism.OPENING_GATE)
+            # Servers can work on 0.67 of the flood.
+            self.assertGreater(served_in_time(gated), 0.67 / 2, hosts)
+            self.assertGreater(
+                served_in_time(gated), 2 * served_in_time(ungated), hosts
+            )
+
+    def test_urgent_openings_fare_better_than_the_rest(self):
+        for hosts, per_host_per_s in _FLEETS:
+            feed, checkout = self.flood(hosts, per_host_per_s)
+            self.assertGreater(
+                served_in_time([checkout]), served_in_time([feed]), hosts
+            )
+
+
+def served_in_time(outcomes):
+    """Return the part of all requests that was served in time."""
+    asked = sum(counts.total() for counts in outcomes)
+    return sum(counts['in_aim'] for counts in outcomes) / asked
