Remove the cost of cold servers: it is worth nothing

Cause: servers that had just started were taken for 1.6 times as slow as others, a figure read off the users' first sites. Ruled out: measuring it by the servers' own word of how long they stay cold; the latency of their answers shows it for any server (steering/slowness.py). Change: no cost, no field of it in the catalog or among hosts. The decoder still checks the field's type, since an entry with a field of another type is another writer's.

--- a/bench/entry.py
+++ b/bench/entry.py
@@ -59,7 +59,6 @@
         f'zone-{number % 4}',
         3,
         False,
-        0,
         1,
         number,
     )
--- a/src/currantshore/internal/mirror/messages.py
+++ b/src/currantshore/internal/mirror/messages.py
@@ -74,7 +74,6 @@
     zone: str
     slots: int
     is_draining: bool
-    warmup_left_ms: int
     started_ms: int
     revision: int
 
@@ -104,7 +103,6 @@
 
 Message: TypeAlias = Digest | Ask | Changes
 
-_MILLISECONDS: Final = 1000
 _encoder: Final = msgspec.msgpack.Encoder()
 _decoder: Final = msgspec.msgpack.Decoder(Message)
 _listing_decoder: Final = msgspec.msgpack.Decoder(Listing)
@@ -147,7 +145,6 @@
         entry.zone,
         entry.slots,
         entry.is_draining,
-        round(entry.warmup_left_s * _MILLISECONDS),
         entry.started_ms,
         entry.revision,
     )
@@ -163,7 +160,6 @@
         listed.zone,
         listed.slots,
         listed.is_draining,
-        listed.warmup_left_ms / _MILLISECONDS,
         listed.started_ms,
         listed.revision,
     )
--- a/src/currantshore/internal/steering/catalog.py
+++ b/src/currantshore/internal/steering/catalog.py
@@ -75,7 +75,6 @@
     zone: str
     slots: int
     is_draining: bool
-    warmup_left_s: float
     started_ms: int
     revision: int
 
--- a/src/currantshore/internal/steering/choosing.py
+++ b/src/currantshore/internal/steering/choosing.py
@@ -27,9 +27,6 @@
 )
 from currantshore.internal.steering.slowness import slowness
 
-# A cold server takes 1.6 times as long for the same work on both users' sites.
-_COLD_SLOWNESS: Final = 1.6
-
 # Crossing zones costs about two delays of the link, a tenth of the work of a
 # request, and its bytes; a zone is left for a server with this much less work
 # for each slot.
@@ -55,12 +52,10 @@
 class LoadCosts:
     """What counts against a server besides its requests for each slot.
 
-    ``cold_slowness`` and ``slow_weight`` are factors, ``lapse_grace_s`` is how
-    long a server may get new flows after its entry has lapsed; the rest are
-    requests for each slot.
+    ``slow_weight`` is a factor, ``lapse_grace_s`` is how long a server may get
+    new flows after its entry has lapsed; the rest are requests for each slot.
     """
 
-    cold_slowness: float = _COLD_SLOWNESS
     crossing_load: float = _CROSSING_LOAD
     bulk_crossing_load: float = _BULK_CROSSING_LOAD
     suspect_load: float = _SUSPECT_LOAD
@@ -71,8 +66,6 @@
     def from_config(cls, switched_off: SwitchedOff) -> Self:
         """Build the costs that are left."""
         neutral: dict[str, float] = {}
-        if Mechanism.COLD_COSTS in switched_off:
-            neutral['cold_slowness'] = 1
         if Mechanism.ZONE_COSTS in switched_off:
             neutral.update(crossing_load=0, bulk_crossing_load=0)
         if Mechanism.SILENCE_COSTS in switched_off:
@@ -85,10 +78,7 @@
 
     def slowness(self, backend: Backend, now_s: float) -> float:
         """Return how many times as long as others the server takes."""
-        slow = 1 + (slowness(backend, now_s) - 1) * self.slow_weight
-        if now_s < backend.warm_at_s:
-            return max(slow, self.cold_slowness)
-        return slow
+        return 1 + (slowness(backend, now_s) - 1) * self.slow_weight
 
 
 class Chooser(Protocol):
--- a/src/currantshore/internal/steering/directory.py
+++ b/src/currantshore/internal/steering/directory.py
@@ -55,7 +55,6 @@
         'standing',
         'suspect_until_s',
         'token',
-        'warm_at_s',
     )
 
     def __init__(self, entry: BackendEntry, now_s: float) -> None:
@@ -71,13 +70,12 @@
         self.latency_noted_s = now_s
         self.is_replaced = False
         self.is_shadowed = False
-        self.update(entry, now_s)
+        self.update(entry)
 
-    def update(self, entry: BackendEntry, now_s: float) -> None:
+    def update(self, entry: BackendEntry) -> None:
         """Take over a newer entry of the same server."""
         self.entry = entry
         self.lapsed_s = 0.0
-        self.warm_at_s = now_s + entry.warmup_left_s
         self.standing = (
             Standing.DRAINING if entry.is_draining else Standing.READY
         )
@@ -232,7 +230,7 @@
             backend.latency_ratio = 1
         if _place(backend.entry) != _place(entry):
             self._is_index_stale = True
-        backend.update(entry, now_s)
+        backend.update(entry)
         self._note_endpoint(backend)
         return True
 
--- a/src/currantshore/internal/steering/mechanisms.py
+++ b/src/currantshore/internal/steering/mechanisms.py
@@ -16,7 +16,6 @@
     LOAD_PLACEMENT = 'load_placement'
     BUSY_SHARES = 'busy_shares'
     ZONE_COSTS = 'zone_costs'
-    COLD_COSTS = 'cold_costs'
     SLOW_COSTS = 'slow_costs'
     SILENCE_COSTS = 'silence_costs'
     LAPSE_GRACE = 'lapse_grace'
--- a/src/currantshore/platform/objects.py
+++ b/src/currantshore/platform/objects.py
@@ -127,6 +127,8 @@
     zone: _Name
     state: Literal['ready', 'draining']
     slots: Annotated[int, msgspec.Meta(ge=1, le=2**31)]
+    # Read by no decision, and checked all the same: an entry in which a field
+    # has another type is another writer's and names no server.
     warmup_left_ms: Annotated[float, msgspec.Meta(ge=0, le=2**31)] = 0
     # Unix milliseconds of the server's start.
     born: _Number = 0
@@ -402,7 +404,6 @@
         server.zone,
         server.slots,
         server.state == 'draining',
-        server.warmup_left_ms / _MILLISECONDS,
         server.born,
         found.meta.revision,
     )
