Take entries with missing or mistyped fields for another writer's

Three fields that no decision reads were not looked at (version, sequence), or might be missing (the warm-up time), so that an entry of another writer that differs in these alone would have got flows. The time of start may still be missing. Change: the decoder asks for all eight with their types. Stand-ins and fixtures of tests send whole entries. Figures: test_fields_that_no_decision_reads_must_be_there_and_of_their_type failed before.

--- a/soak/world.py
+++ b/soak/world.py
@@ -258,9 +258,11 @@
             'service': SERVICES[number % len(SERVICES)],
             'address': f'{self._backend_host}:{self._fronts[number].port}',
             'zone': f'zone-{number % _ZONES}',
+            'version': 'v1',
             'slots': 3,
             'state': state,
             'warmup-left-ms': 0,
+            'sequence': 1,
             'born': 1,
         }
         await self.store.put('servers', self.backends[number].name, spec)
--- a/src/currantshore/platform/objects.py
+++ b/src/currantshore/platform/objects.py
@@ -122,14 +122,16 @@
 
 
 class _Server(msgspec.Struct, rename='kebab'):
+    # An entry that lacks one of these fields, or holds one of another type, is
+    # another writer's and names no server, also where no decision reads it.
     service: _Name
     address: str
     zone: _Name
+    version: str
     state: Literal['ready', 'draining']
     slots: Annotated[int, msgspec.Meta(ge=1, le=2**31)]
-    # Read by no decision, and checked all the same: an entry in which a field
-    # has another type is another writer's and names no server.
-    warmup_left_ms: Annotated[float, msgspec.Meta(ge=0, le=2**31)] = 0
+    warmup_left_ms: Annotated[float, msgspec.Meta(ge=0, le=2**31)]
+    sequence: _Number
     # Unix milliseconds of the server's start.
     born: _Number = 0
 
--- a/tests/contract/test_http.py
+++ b/tests/contract/test_http.py
@@ -211,8 +211,11 @@
     'service': 'dockwatch',
     'address': '10.128.0.9:8080',
     'zone': 'harbor',
+    'version': 'v1',
     'slots': 3,
     'state': 'ready',
+    'warmup-left-ms': 0,
+    'sequence': 1,
 }
 
 
@@ -335,8 +338,11 @@
             'service': 'a',
             'address': '10.0.0.1:80',
             'zone': 'z',
+            'version': 'v1',
             'state': 'ready',
             'slots': 2,
+            'warmup-left-ms': 0,
+            'sequence': 1,
         }
         return {'meta': {'name': name, 'revision': revision}, 'spec': spec}
 
--- a/tests/contract/test_platform_objects.py
+++ b/tests/contract/test_platform_objects.py
@@ -137,14 +137,28 @@
             self.assertEqual(['i-7f3a91c2'], names, damage)
             self.assertEqual(1, len(page.faults), damage)
 
-    def test_a_field_that_no_decision_reads_must_have_its_type_too(self):
+    def test_fields_that_no_decision_reads_must_be_there_and_of_their_type(
+        self,
+    ):
         # An entry of another writer may differ from a server's in this alone.
-        damaged = {**_SERVER, 'warmup-left-ms': 'soon'}
-        page = objects.decode_backend_page(
-            make_page(make_object('i-7f3a91c2', damaged))
-        )
-        self.assertEqual([], page.entries)
-        self.assertEqual(1, len(page.faults))
+        entries = [
+            {**_SERVER, name: odd}
+            for name, odd in (
+                ('version', 17),
+                ('sequence', 'four'),
+                ('warmup-left-ms', 'soon'),
+            )
+        ]
+        for name in ('version', 'sequence', 'warmup-left-ms'):
+            rest = {**_SERVER}
+            rest.pop(name)
+            entries.append(rest)
+        for entry in entries:
+            page = objects.decode_backend_page(
+                make_page(make_object('i-7f3a91c2', entry))
+            )
+            self.assertEqual([], page.entries, entry)
+            self.assertEqual(1, len(page.faults), entry)
 
     def test_an_entry_of_other_shape_is_left_out(self):
         for spec in ('text', 12, None, [], {}):
