Take what a quiet route's middle answer takes for its work

Cause: the tenth part of the lowest latencies was taken for work without a queue, so that the spread of work counted as waiting. Change: the middle latency of a period, followed in smaller steps; a period begins with the estimate of the one before. What is left at rest comes from the middle of 16 answers.

--- a/src/currantshore/internal/steering/quantiles.py
+++ b/src/currantshore/internal/steering/quantiles.py
@@ -15,19 +15,26 @@
     in the ratio that holds it at the quantile. The error is a few per cent.
     """
 
-    __slots__ = ('_share', 'estimate')
-
-    def __init__(self, share: float, prior: float) -> None:
+    __slots__ = ('_share', '_step_ratio', 'estimate')
+
+    def __init__(
+        self,
+        share: float,
+        prior: float,
+        step_ratio: float = _STEP_RATIO,
+    ) -> None:
         """Follow the figure below which ``share`` (0 to 1) of all lie.
 
-        ``prior``, above 0, gives way within some dozens of figures.
+        ``prior``, above 0, gives way within some dozens of figures; with a
+        smaller step later, and what follows varies less.
         """
         self._share = share
+        self._step_ratio = step_ratio
         self.estimate = prior
 
     def note(self, figure: float) -> None:
         """Take one figure."""
-        step = self.estimate * _STEP_RATIO
+        step = self.estimate * self._step_ratio
         if figure > self.estimate:
             self.estimate += step * self._share
         else:
--- a/src/currantshore/internal/steering/waiting.py
+++ b/src/currantshore/internal/steering/waiting.py
@@ -2,9 +2,10 @@
 
 The load that this answers: queues that stand full, on sites of any work and
 target latency. A host sees latencies only. What a route takes without a queue
-is its low quantile, of the minutes past and not of the seconds of a flood; the
-rest is waiting. It is judged by the time that the route's target leaves for
-waiting, so that work that takes most of a target is not mistaken for a queue.
+is the middle one of its latencies, of the minutes past and not of the seconds
+of a flood; the rest is waiting. It is judged by the time that the route's
+target leaves for waiting, so that work that takes most of a target is not
+mistaken for a queue.
 """
 
 import collections
@@ -16,8 +17,13 @@
 from currantshore.internal.steering.mechanisms import Mechanism, SwitchedOff
 from currantshore.internal.steering.quantiles import RunningQuantile
 
-# One answer in ten meets a server without a queue, but for a flood.
-_QUIET_SHARE: Final = 0.1
+# The middle answer of a period without a flood has not waited, and the gate
+# looks at the middle one as well, so that the spread of work is no waiting.
+_QUIET_SHARE: Final = 0.5
+
+# The least of several periods counts, so that each has to vary by less than a
+# tenth; a period of the smallest hosts has some dozens of answers.
+_STEP_RATIO: Final = 0.03
 
 # The least of the last periods counts: two minutes, while floods are seconds.
 _PERIOD_S: Final = 10.0
@@ -31,7 +37,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _RouteLatency:
-    """Low quantiles of a route's latencies, one for each period."""
+    """Middle latencies of a route, one for each period."""
 
     first_s: float
     period_s: float
@@ -42,7 +48,12 @@
     def note(self, latency_s: float, now_s: float) -> None:
         if not self.quantiles or now_s - self.period_s >= _PERIOD_S:
             self.period_s = now_s
-            self.quantiles.append(RunningQuantile(_QUIET_SHARE, latency_s))
+            before_s = latency_s
+            if self.quantiles:
+                before_s = self.quantiles[-1].estimate
+            self.quantiles.append(
+                RunningQuantile(_QUIET_SHARE, before_s, _STEP_RATIO)
+            )
         self.quantiles[-1].note(latency_s)
 
     def quiet_s(self, target_s: float, now_s: float) -> float:
--- a/tests/cover/test_gate_sizes.py
+++ b/tests/cover/test_gate_sizes.py
@@ -71,3 +71,26 @@
     """Return the part of all requests that was served in time."""
     asked = sum(counts.total() for counts in outcomes)
     return sum(counts['in_aim'] for counts in outcomes) / asked
+
+
+class RestTests(testtools.TestCase):
+    """Guards against refusals at rest where work takes most of the target."""
+
+    def rest(self, target_to_work, usage):
+        """Return the part refused of a load that servers work on in time."""
+        target_s = _FEED_WORK_S * target_to_work + _WAY_S
+        route = dataclasses.replace(
+            FEED, target_latency_s=target_s, timeout_s=target_s * 5
+        )
+        servers = [Server(_SLOTS, _QUEUE) for _ in range(7)]
+        world = QueueWorld(9, servers, _WAY_S)
+        per_s = usage * _SLOTS * len(servers) / _FEED_WORK_S
+        world.play(15, Load(route, per_s, _FEED_WORK_S))
+        (outcomes,) = world.play(20, Load(route, per_s, _FEED_WORK_S))
+        return outcomes['refused'] / outcomes.total()
+
+    def test_the_spread_of_work_is_no_waiting(self):
+        for usage in (0.3, 0.6, 0.8):
+            self.assertLess(self.rest(2, usage), 0.05, usage)
+            self.assertLess(self.rest(3, usage), 0.01, usage)
+            self.assertEqual(0, self.rest(6, usage), usage)
