Let a host that has just started measure a route's work

Cause: for ten seconds after a start a fifth of the target was taken for a route's work, whatever answers took. Ruled out: no judgement for ten seconds; hosts that restart in a flood would take it for usual. Change: until a route is followed, its work is what is measured, between a fifth and half of the target.

--- a/src/currantshore/internal/steering/waiting.py
+++ b/src/currantshore/internal/steering/waiting.py
@@ -30,8 +30,10 @@
 _PERIODS: Final = 12
 
 # Prior, until a route has been followed for some seconds: work of a fifth of
-# its target latency.
+# its target latency, or what is measured, up to half of the target. A host that
+# starts in a flood measures the queue as well, which takes more than that.
 _PRIOR_RATIO: Final = 0.2
+_MOST_PRIOR_RATIO: Final = 0.5
 _FOLLOWED_S: Final = 10.0
 
 
@@ -58,7 +60,10 @@
 
     def quiet_s(self, target_s: float, now_s: float) -> float:
         if now_s - self.first_s < _FOLLOWED_S:
-            return target_s * _PRIOR_RATIO
+            measured_s = max(
+                self.quantiles[-1].estimate, target_s * _PRIOR_RATIO
+            )
+            return min(measured_s, target_s * _MOST_PRIOR_RATIO)
         return min(quantile.estimate for quantile in self.quantiles)
 
 
--- a/tests/cover/test_gate_sizes.py
+++ b/tests/cover/test_gate_sizes.py
@@ -76,8 +76,11 @@
 class RestTests(testtools.TestCase):
     """Guards against refusals at rest where work takes most of the target."""
 
-    def rest(self, target_to_work, usage):
-        """Return the part refused of a load that servers work on in time."""
+    def rest(self, target_to_work, usage, followed_s=15):
+        """Return the part refused of a load that servers work on in time.
+
+        Hosts have seen the load for ``followed_s`` before.
+        """
         target_s = _FEED_WORK_S * target_to_work + _WAY_S
         route = dataclasses.replace(
             FEED, target_latency_s=target_s, timeout_s=target_s * 5
@@ -85,7 +88,7 @@
         servers = [Server(_SLOTS, _QUEUE) for _ in range(7)]
         world = QueueWorld(9, servers, _WAY_S)
         per_s = usage * _SLOTS * len(servers) / _FEED_WORK_S
-        world.play(15, Load(route, per_s, _FEED_WORK_S))
+        world.play(followed_s, Load(route, per_s, _FEED_WORK_S))
         (outcomes,) = world.play(20, Load(route, per_s, _FEED_WORK_S))
         return outcomes['refused'] / outcomes.total()
 
@@ -94,3 +97,8 @@
             self.assertLess(self.rest(2, usage), 0.05, usage)
             self.assertLess(self.rest(3, usage), 0.01, usage)
             self.assertEqual(0, self.rest(6, usage), usage)
+
+    def test_hosts_that_have_just_started_refuse_nobody(self):
+        for usage in (0.3, 0.6, 0.8):
+            self.assertLess(self.rest(3, usage, followed_s=0), 0.01, usage)
+            self.assertEqual(0, self.rest(6, usage, followed_s=0), usage)
