--- a/src/currantshore/internal/steering/waiting.py
+++ b/src/currantshore/internal/steering/waiting.py
@@ -30,10 +30,10 @@
 _PERIODS: Final = 12
 
 # Prior, until a route has been followed for some seconds: work of a fifth of
-# its target latency, or what is measured, up to half of the target. A host that
-# starts in a flood measures the queue as well, which takes more than that.
+# its target latency, or what is measured, up to two thirds of the target. A
+# host that starts in a flood measures the queue as well, which takes more.
 _PRIOR_RATIO: Final = 0.2
-_MOST_PRIOR_RATIO: Final = 0.5
+_MOST_PRIOR_RATIO: Final = 2 / 3
 _FOLLOWED_S: Final = 10.0
 
 
--- a/tests/cover/test_gate_sizes.py
+++ b/tests/cover/test_gate_sizes.py
@@ -102,3 +102,7 @@
         for usage in (0.3, 0.6, 0.8):
             self.assertLess(self.rest(3, usage, followed_s=0), 0.01, usage)
             self.assertEqual(0, self.rest(6, usage, followed_s=0), usage)
+
+    def test_hosts_that_have_just_started_refuse_few_at_twice_the_work(self):
+        for usage in (0.3, 0.6, 0.8):
+            self.assertLess(self.rest(2, usage, followed_s=0), 0.05, usage)
