Log and count restores of the store, without acting on them

The store counts its restores in a header of each answer. Log store_restored when the count rises, with the subject whose call showed it, and export the gauge store_restores.

No decision changes. Checked by tests/contract (golden names: additions only).

--- a/src/currantshore/internal/entry/following.py
+++ b/src/currantshore/internal/entry/following.py
@@ -105,6 +105,7 @@
         '_rng',
         '_watches',
         'calls',
+        'restores',
     )
 
     def __init__(
@@ -120,6 +121,8 @@
         self._rng = rng
         self._loop = asyncio.get_running_loop()
         self.calls: Counter[str] = Counter()
+        # How often the store was restored from an older copy.
+        self.restores = 0
         self._backends = _Watch(
             BackendSubject(replica, StoreConnection.from_endpoint(endpoint))
         )
@@ -195,7 +198,9 @@
 
     async def _make_call(self, watch: _Watch) -> None:
         self.calls[watch.subject.name] += 1
-        match await watch.run_call():
+        outcome = await watch.run_call()
+        self._log_restored(watch)
+        match outcome:
             case None:
                 self._log_regained(watch)
                 watch.failures = 0
@@ -228,6 +233,15 @@
                 'store_lost', subject=watch.subject.name, error=str(error)
             )
 
+    def _log_restored(self, watch: _Watch) -> None:
+        if watch.subject.restores > self.restores:
+            self.restores = watch.subject.restores
+            self._log.write(
+                'store_restored',
+                subject=watch.subject.name,
+                restores=self.restores,
+            )
+
     def _log_regained(self, watch: _Watch) -> None:
         if watch.failures:
             self._log.write(
--- a/src/currantshore/internal/entry/host.py
+++ b/src/currantshore/internal/entry/host.py
@@ -306,6 +306,7 @@
             'backend_servers': len(self._steering.directory.entries()),
             'configuration_version': self._steering.table.version,
             'backend_revision': self._mirror.revision,
+            'store_restores': self._follower.restores,
             'evacuated_zones': len(self._steering.evacuated.zones),
             'known_hosts': self._mirror.known_hosts(),
             'is_reader': self._mirror.role.is_reader,
--- a/src/currantshore/internal/entry/subjects.py
+++ b/src/currantshore/internal/entry/subjects.py
@@ -29,6 +29,10 @@
     name: str
     is_loaded: bool
 
+    @property
+    def restores(self) -> int:
+        """How often the store had been restored at its last answer."""
+
     async def step(self) -> None:
         """Make one call and apply its result."""
 
@@ -57,6 +61,10 @@
         self._version = 0
         self.is_loaded = False
 
+    @property
+    def restores(self) -> int:
+        return self._store.restores
+
     async def step(self) -> None:
         if self._revision:
             update = await self._store.watch_configuration(
@@ -100,6 +108,10 @@
         self._revision = 0
         self.is_loaded = False
 
+    @property
+    def restores(self) -> int:
+        return self._store.restores
+
     async def step(self) -> None:
         if not self._revision:
             await self._list_all()
@@ -143,6 +155,10 @@
         self._zones: frozenset[str] = frozenset()
         self.is_loaded = False
 
+    @property
+    def restores(self) -> int:
+        return self._store.restores
+
     async def step(self) -> None:
         faults = await (self._watch() if self._revision else self._list_all())
         self.is_loaded = True
--- a/src/currantshore/internal/httpconnection.py
+++ b/src/currantshore/internal/httpconnection.py
@@ -48,7 +48,14 @@
     Calls are not retried here, because a failed call may have had an effect.
     """
 
-    __slots__ = ('_endpoint', '_is_secure', '_protocol', '_reader', '_writer')
+    __slots__ = (
+        '_endpoint',
+        '_is_secure',
+        '_protocol',
+        '_reader',
+        '_writer',
+        'headers',
+    )
 
     def __init__(self, endpoint: Endpoint, *, is_secure: bool) -> None:
         """Use ``from_endpoint`` instead."""
@@ -57,6 +64,8 @@
         self._protocol = h11.Connection(h11.CLIENT)
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
+        # Headers of the last response, with their names in lower case.
+        self.headers: Mapping[bytes, bytes] = {}
 
     @classmethod
     def from_endpoint(
@@ -178,6 +187,7 @@
             match await self._next_event():
                 case h11.Response() as response:
                     status = response.status_code
+                    self.headers = dict(response.headers)
                     _check_framed(response)
                 case h11.Data() as part:
                     parts.append(bytes(part.data))
--- a/src/currantshore/platform/store.py
+++ b/src/currantshore/platform/store.py
@@ -1,6 +1,6 @@
 """Call the platform's store: paths, parameters and statuses."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Final, Self, TypeVar
 
 from currantshore.errors import (
@@ -34,6 +34,11 @@
 _GONE: Final = 410
 _MILLISECONDS: Final = 1000
 
+# Counts the restores of the store from an older copy. A store that was never
+# restored sends 1, and one that cannot be restored sends no such header.
+_ERA_HEADER: Final = b'store-era'
+_FIRST_ERA: Final = 1
+
 _DecodedT = TypeVar('_DecodedT')
 
 
@@ -47,11 +52,13 @@
     from.
     """
 
-    __slots__ = ('_connection',)
+    __slots__ = ('_connection', 'restores')
 
     def __init__(self, connection: HttpConnection) -> None:
         """Prefer ``from_endpoint``."""
         self._connection = connection
+        # How often the store had been restored at its last answer.
+        self.restores = 0
 
     @classmethod
     def from_endpoint(cls, endpoint: Endpoint) -> Self:
@@ -147,6 +154,7 @@
         decode: Callable[[bytes], _DecodedT],
     ) -> _DecodedT:
         answer = await self._connection.get(target, timeout_s)
+        self.restores = _decode_restores(target, self._connection.headers)
         if answer.status == _GONE:
             raise HistoryLostError(target)
         if answer.status != _OK:
@@ -166,3 +174,16 @@
 def _watch_target(path: str, revision: int, wait_s: float) -> str:
     wait_ms = round(wait_s * _MILLISECONDS)
     return f'{path}?watch={revision}&wait-ms={wait_ms}'
+
+
+def _decode_restores(target: str, headers: Mapping[bytes, bytes]) -> int:
+    """Return how often the store had been restored when it answered.
+
+    Raises ``AnswerUnreadableError`` if the header is not a whole number.
+    """
+    era = headers.get(_ERA_HEADER, b'')
+    if not era:
+        return 0
+    if not era.isdigit():
+        raise AnswerUnreadableError(f'{target}: the era {era!r} is no number')
+    return max(0, int(era) - _FIRST_ERA)
