--- a/standins/objectstore.py
+++ b/standins/objectstore.py
@@ -3,15 +3,16 @@
 ``python -m standins.objectstore --port 0`` prints ``{"url", "port"}`` as one
 line when it is ready; SIGTERM ends it. It implements the published
 protocol: paged listings, single objects, watches from a revision, conditional
-writes, and the status codes 404, 409, 410, 429 and 503. ``POST /faults`` sets
-the fields of ``Faults``; ``GET /calls`` returns the counts of calls by kind.
+writes, the status codes 404, 409, 410, 429 and 503, and the header that counts
+restores. ``POST /faults`` sets the fields of ``Faults``; ``GET /calls`` returns
+the counts of calls by kind.
 """
 
 import argparse
 import asyncio
 import collections
 import signal
-from typing import Any, Final, TypeAlias
+from typing import Any, Final, NamedTuple, TypeAlias
 
 import msgspec
 from aiohttp import web
@@ -49,12 +50,23 @@
     is_removed: bool
 
 
+class StoreCopy(NamedTuple):
+    """The state of a store at one moment, from which it can be restored."""
+
+    revision: int
+    kinds: dict[str, _Objects]
+    events: tuple[_Event, ...]
+    discarded_revision: int
+
+
 class ObjectStore:
     """Objects by kind and name with one revision counter."""
 
     def __init__(self, page_size: int = 50, history: int = 1000) -> None:
         """Initialize an empty store with ``page_size`` objects a page."""
         self.revision = 1
+        # Rises by one with each restore.
+        self.era = 1
         self.faults = Faults()
         self.calls: collections.Counter[str] = collections.Counter()
         self._page_size = page_size
@@ -110,6 +122,38 @@
         self._events.clear()
         self._discarded_revision = self.revision
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the state, as a backup of the store would be."""
+        return StoreCopy(
+            self.revision,
+            {kind: dict(found) for kind, found in self._objects.items()},
+            tuple(self._events),
+            self._discarded_revision,
+        )
+
+    async def restore(self, copy: StoreCopy) -> None:
+        """Return to an older state, whose revisions are given out again."""
+        self.era += 1
+        self.revision = copy.revision
+        self._objects = {
+            kind: dict(found) for kind, found in copy.kinds.items()
+        }
+        self._events = collections.deque(copy.events, self._events.maxlen)
+        self._discarded_revision = copy.discarded_revision
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def write_again(self, lost: StoreCopy) -> None:
+        """Write what ``lost`` had, of each kind in the order it had."""
+        for kind, objects_of_kind in self.copy().kinds.items():
+            for name in (
+                objects_of_kind.keys() - lost.kinds.get(kind, {}).keys()
+            ):
+                await self.remove(kind, name)
+        for kind, found in lost.kinds.items():
+            for name, stored in sorted(found.items(), key=_revision_of):
+                await self.put(kind, name, stored['spec'])
+
     def page(self, kind: str, after: str) -> dict[str, Any]:
         """Return the page of objects whose names follow ``after``."""
         objects_of_kind = self._objects.get(kind, {})
@@ -127,10 +171,10 @@
         revision: int,
         wait_ms: int,
     ) -> dict[str, Any] | None:
-        """Return events after ``revision``; None if they were discarded."""
+        """Return events after ``revision``; None if they are not known."""
         deadline_s = asyncio.get_running_loop().time() + wait_ms / _MS_PER_S
         while True:
-            if revision < self._discarded_revision:
+            if not self._discarded_revision <= revision <= self.revision:
                 return None
             events = [
                 {'object': event.found, 'removed': event.is_removed}
@@ -156,6 +200,11 @@
             self._changed.notify_all()
 
 
+def _revision_of(item: tuple[str, dict[str, Any]]) -> int:
+    revision: int = item[1]['meta']['revision']
+    return revision
+
+
 class StoreServer:
     """Serves an ``ObjectStore`` over HTTP."""
 
@@ -200,14 +249,20 @@
             if is_refused and faults.is_silent:
                 await asyncio.sleep(_MAX_WAIT_MS)
             if is_refused and faults.refuse_status:
-                return web.Response(status=faults.refuse_status)
+                return web.Response(
+                    status=faults.refuse_status, headers=self._headers()
+                )
         answer = await handler(request)
+        answer.headers.update(self._headers())
         if request.method != 'GET' and not is_control and faults.lose_writes:
             faults.lose_writes -= 1
             assert request.transport is not None
             request.transport.abort()
         return answer
 
+    def _headers(self) -> dict[str, str]:
+        return {'Store-Era': str(self.store.era)}
+
     async def _list(self, request: web.Request) -> web.Response:
         kind = request.match_info['kind']
         if 'watch' not in request.query:
