Order revisions by the restores of the store first

Cause: everything that a host holds and tells others (entries, lists, the log of changes, digests, evacuated zones, watches) is ordered by the store's revision, which goes back in a restore. Later changes looked older and were ignored, and a watch from a revision that was given out again missed what had been written below it. The class of fault: a counter taken for a clock, without the epoch that it counts in.

Change: the adapter reads the number of restores from each answer and puts it above the store's revision in one integer; all comparisons stay as they are. A watch whose answer shows another number of restores, or that is known to be from before a restore, lists again. No message changes its form, and without a restore none its bytes.

Ruled out: an epoch as a field of its own in each message. Hosts of the landed build would ignore it and go on comparing bare revisions.

--- a/src/currantshore/errors.py
+++ b/src/currantshore/errors.py
@@ -108,7 +108,11 @@
 
 
 class HistoryLostError(CurrantshoreError):
-    """Raised when a watch starts before the history that the store keeps."""
+    """Raised when objects have to be listed again before they are watched.
+
+    The store does not keep the history that a watch starts from, or was
+    restored from a copy since.
+    """
 
 
 class ChartError(CurrantshoreError):
--- a/src/currantshore/internal/entry/following.py
+++ b/src/currantshore/internal/entry/following.py
@@ -105,7 +105,6 @@
         '_rng',
         '_watches',
         'calls',
-        'restores',
     )
 
     def __init__(
@@ -121,8 +120,6 @@
         self._rng = rng
         self._loop = asyncio.get_running_loop()
         self.calls: Counter[str] = Counter()
-        # How often the store was restored from an older copy.
-        self.restores = 0
         self._backends = _Watch(
             BackendSubject(replica, StoreConnection.from_endpoint(endpoint))
         )
@@ -165,7 +162,7 @@
         await self._follow(self._evacuations)
 
     def cancel_stale_calls(self) -> None:
-        """Cancel silent calls, and all calls if this host is no reader."""
+        """Cancel silent or outdated calls, and all calls of a non-reader."""
         is_reader = self._replica.mirror.role.is_reader
         for watch in self._watches:
             if watch.call is None:
@@ -173,7 +170,7 @@
             is_silent = watch.is_silent(self._loop.time())
             if is_silent:
                 self._log.write('watch_silent', subject=watch.subject.name)
-            if is_silent or not is_reader:
+            if is_silent or watch.subject.is_outdated() or not is_reader:
                 watch.call.cancel()
 
     async def _follow(self, watch: _Watch) -> None:
@@ -198,16 +195,15 @@
 
     async def _make_call(self, watch: _Watch) -> None:
         self.calls[watch.subject.name] += 1
-        outcome = await watch.run_call()
-        self._log_restored(watch)
-        match outcome:
+        match await watch.run_call():
             case None:
                 self._log_regained(watch)
                 watch.failures = 0
                 await asyncio.sleep(_BATCHING_PAUSE_S)
             case HistoryLostError():
-                self._log.write('history_lost', subject=watch.subject.name)
-                watch.subject.reset()
+                self._list_again(watch)
+            case asyncio.CancelledError() if watch.subject.is_outdated():
+                self._list_again(watch)
             case AnswerUnreadableError() as error:
                 # A watch would return the same answer again.
                 watch.subject.reset()
@@ -227,21 +223,16 @@
             case BaseException() as error:
                 raise error
 
+    def _list_again(self, watch: _Watch) -> None:
+        self._log.write('history_lost', subject=watch.subject.name)
+        watch.subject.reset()
+
     def _log_lost(self, watch: _Watch, error: Exception) -> None:
         if watch.failures == 1:
             self._log.write(
                 'store_lost', subject=watch.subject.name, error=str(error)
             )
 
-    def _log_restored(self, watch: _Watch) -> None:
-        if watch.subject.restores > self.restores:
-            self.restores = watch.subject.restores
-            self._log.write(
-                'store_restored',
-                subject=watch.subject.name,
-                restores=self.restores,
-            )
-
     def _log_regained(self, watch: _Watch) -> None:
         if watch.failures:
             self._log.write(
--- a/src/currantshore/internal/entry/forwarding.py
+++ b/src/currantshore/internal/entry/forwarding.py
@@ -16,6 +16,7 @@
 from currantshore.codes import FlowRefusal
 from currantshore.internal.entry.decisionlog import DecisionLog
 from currantshore.internal.entry.events import CheckRequested
+from currantshore.internal.revisions import store_revision_of
 from currantshore.internal.steering.core import (
     FlowReset,
     SteeringCore,
@@ -101,7 +102,7 @@
                 self._log.write(
                     'backend_server_replaced',
                     backend_id=replaced.entry.backend_id,
-                    entry_revision=replaced.entry.revision,
+                    entry_revision=store_revision_of(replaced.entry.revision),
                 )
             self.on_flows_lost(actions.resets)
             for backend in actions.checks:
@@ -178,7 +179,7 @@
             'flow_placed',
             flow=packets.describe_flow(key),
             backend_id=entry.backend_id,
-            entry_revision=entry.revision,
+            entry_revision=store_revision_of(entry.revision),
             version=self._core.table.version,
             requests=len(backend.pending_requests),
             flows=backend.flow_count,
--- a/src/currantshore/internal/entry/host.py
+++ b/src/currantshore/internal/entry/host.py
@@ -30,6 +30,7 @@
     MirrorCore,
 )
 from currantshore.internal.process.runtime import LoopRoot
+from currantshore.internal.revisions import restores_of, store_revision_of
 from currantshore.internal.steering.core import SteeringCore
 from currantshore.internal.steering.mechanisms import Mechanism
 from currantshore.internal.steering.warmup import WarmupBounds
@@ -305,8 +306,8 @@
             'flows': len(self._steering.records),
             'backend_servers': len(self._steering.directory.entries()),
             'configuration_version': self._steering.table.version,
-            'backend_revision': self._mirror.revision,
-            'store_restores': self._follower.restores,
+            'backend_revision': store_revision_of(self._mirror.revision),
+            'store_restores': restores_of(self._mirror.revision),
             'evacuated_zones': len(self._steering.evacuated.zones),
             'known_hosts': self._mirror.known_hosts(),
             'is_reader': self._mirror.role.is_reader,
--- a/src/currantshore/internal/entry/storereplica.py
+++ b/src/currantshore/internal/entry/storereplica.py
@@ -13,6 +13,7 @@
 from currantshore.internal.entry.decisionlog import DecisionLog
 from currantshore.internal.mirror.core import MirrorCore, OutgoingMessage
 from currantshore.internal.mirror.messages import Listing
+from currantshore.internal.revisions import restores_of, store_revision_of
 from currantshore.internal.steering.catalog import (
     BackendEntry,
     BackendRemoved,
@@ -35,6 +36,7 @@
     __slots__ = (
         '_log',
         '_logged_faults',
+        '_logged_restores',
         '_loop',
         '_steering',
         'completed',
@@ -62,6 +64,7 @@
         self.is_listed = False
         self.unreadable: Counter[str] = Counter()
         self._logged_faults: set[str] = set()
+        self._logged_restores = 0
         # Sends messages to other hosts; set when the sockets are open.
         self.send_announcements: SendHook = _discard_messages
 
@@ -89,7 +92,7 @@
         self._log.write(
             'configuration_in_force',
             version=table.version,
-            revision=revision,
+            revision=store_revision_of(revision),
             routes=len(table.routes),
             origin=origin,
         )
@@ -128,6 +131,14 @@
             self.log_evacuated_zones('store')
             self.send_announcements(self.mirror.announce(now_s))
 
+    def is_restored_since(self, revision: int) -> bool:
+        """Return whether hosts know of a restore after ``revision``.
+
+        False if ``revision`` is 0, which stands for none.
+        """
+        newest = restores_of(self.mirror.newest_revision)
+        return 0 < revision and restores_of(revision) < newest
+
     def evacuated_zones(self) -> EvacuatedZones:
         """Return the evacuated zones that are in force on this host."""
         return self._steering.evacuated
@@ -138,7 +149,7 @@
         self._log.write(
             'evacuated_zones_changed',
             zones=sorted(evacuated.zones),
-            revision=evacuated.revision,
+            revision=store_revision_of(evacuated.revision),
             origin=origin,
         )
 
@@ -163,10 +174,16 @@
         self._log.write(
             'backend_servers_listed',
             count=len(changed),
-            revision=self.mirror.revision,
+            revision=store_revision_of(self.mirror.revision),
             origin=origin,
         )
 
+    def _log_restored(self, origin: str) -> None:
+        restores = restores_of(self.mirror.revision)
+        if restores > self._logged_restores:
+            self._logged_restores = restores
+            self._log.write('store_restored', restores=restores, origin=origin)
+
     def _update_completed(self) -> None:
         if self.is_complete():
             self.completed.set()
@@ -196,6 +213,7 @@
         faults: Iterable[str] = (),
     ) -> None:
         """Log the backend servers that changed, and the faults."""
+        self._log_restored(origin)
         self.log_unreadable('backend_server', faults, origin)
         for backend_id in changed:
             backend = self._steering.directory.get(backend_id)
@@ -204,7 +222,7 @@
                 backend_id=backend_id,
                 service_id=backend.entry.service_id,
                 standing=backend.standing.value,
-                revision=backend.entry.revision,
+                revision=store_revision_of(backend.entry.revision),
                 origin=origin,
             )
 
--- a/src/currantshore/internal/entry/subjects.py
+++ b/src/currantshore/internal/entry/subjects.py
@@ -3,7 +3,9 @@
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Final, Protocol, TypeVar
 
+from currantshore.errors import HistoryLostError
 from currantshore.internal.entry.storereplica import StoreReplica
+from currantshore.internal.revisions import restores_of
 from currantshore.internal.steering.catalog import EvacuatedZones
 from currantshore.platform.objects import EvacuationPage, Page
 from currantshore.platform.store import StoreConnection
@@ -29,10 +31,6 @@
     name: str
     is_loaded: bool
 
-    @property
-    def restores(self) -> int:
-        """How often the store had been restored at its last answer."""
-
     async def step(self) -> None:
         """Make one call and apply its result."""
 
@@ -46,6 +44,13 @@
         its calls has a timeout.
         """
 
+    def is_outdated(self) -> bool:
+        """Return whether the store was restored since the last call.
+
+        The store may have given out the revision again from which the watch
+        started, and would not return what was written before it.
+        """
+
 
 class ConfigurationSubject:
     """Follows the configuration."""
@@ -61,10 +66,6 @@
         self._version = 0
         self.is_loaded = False
 
-    @property
-    def restores(self) -> int:
-        return self._store.restores
-
     async def step(self) -> None:
         if self._revision:
             update = await self._store.watch_configuration(
@@ -94,6 +95,9 @@
             return False
         return self._version < self._replica.mirror.newest_version
 
+    def is_outdated(self) -> bool:
+        return self._replica.is_restored_since(self._revision)
+
 
 class BackendSubject:
     """Follows the backend servers."""
@@ -108,10 +112,6 @@
         self._revision = 0
         self.is_loaded = False
 
-    @property
-    def restores(self) -> int:
-        return self._store.restores
-
     async def step(self) -> None:
         if not self._revision:
             await self._list_all()
@@ -130,6 +130,9 @@
             return False
         return self._revision < self._replica.mirror.peer_revision
 
+    def is_outdated(self) -> bool:
+        return self._replica.is_restored_since(self._revision)
+
     async def _list_all(self) -> None:
         pages = await _read_pages(self._store.list_backends)
         # Later pages may be newer, so the watch starts at the first page's
@@ -155,10 +158,6 @@
         self._zones: frozenset[str] = frozenset()
         self.is_loaded = False
 
-    @property
-    def restores(self) -> int:
-        return self._store.restores
-
     async def step(self) -> None:
         faults = await (self._watch() if self._revision else self._list_all())
         self.is_loaded = True
@@ -170,11 +169,16 @@
         self._revision = 0
 
     def is_behind(self) -> bool:
+        if not self._revision:
+            return False
         # The revision alone also grows with changes of other objects.
         newest = self._replica.evacuated_zones()
-        is_older = 0 < self._revision < newest.revision
+        is_older = self._revision < newest.revision
         return is_older and newest.zones != self._zones
 
+    def is_outdated(self) -> bool:
+        return self._replica.is_restored_since(self._revision)
+
     async def _watch(self) -> Iterable[str]:
         update = await self._store.watch_evacuated_zones(
             self._revision, _WATCH_WAIT_S, _WATCH_WAIT_S + _WATCH_MARGIN_S
@@ -199,8 +203,15 @@
 async def _read_pages(
     read_page: Callable[[str, float], Awaitable[_PageT]],
 ) -> list[_PageT]:
-    """Read the pages of a listing from the first to the last."""
+    """Read the pages of a listing from the first to the last.
+
+    Raises ``HistoryLostError`` if the store is restored between two pages.
+    """
     pages = [await read_page('', _READ_TIMEOUT_S)]
+    restores = restores_of(pages[0].revision)
     while pages[-1].next_name:
-        pages.append(await read_page(pages[-1].next_name, _READ_TIMEOUT_S))
+        page = await read_page(pages[-1].next_name, _READ_TIMEOUT_S)
+        if restores_of(page.revision) != restores:
+            raise HistoryLostError(page.next_name)
+        pages.append(page)
     return pages
--- a/src/currantshore/platform/objects.py
+++ b/src/currantshore/platform/objects.py
@@ -12,6 +12,10 @@
 
 import msgspec
 
+from currantshore.internal.revisions import (
+    MAX_STORE_REVISION,
+    build_revision,
+)
 from currantshore.internal.steering.catalog import (
     BackendEntry,
     BackendRemoved,
@@ -32,6 +36,9 @@
 # Hosts send these numbers to each other as MessagePack, which has 64 bits.
 _MAX_NUMBER: Final = 2**63 - 1
 _Number: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
+_StoreRevision: TypeAlias = Annotated[
+    int, msgspec.Meta(ge=0, le=MAX_STORE_REVISION)
+]
 
 # Hosts send these names to each other with eight servers per datagram, so their
 # length is limited, to that of a DNS label.
@@ -63,7 +70,7 @@
 
 class _Meta(msgspec.Struct):
     name: _Name
-    revision: _Number = 0
+    revision: _StoreRevision = 0
 
 
 class _Object(msgspec.Struct):
@@ -84,7 +91,7 @@
 class _Page(msgspec.Struct, rename='kebab'):
     items: list[msgspec.Raw]
     # The store's revision for which the whole page is valid.
-    as_of: _Number
+    as_of: _StoreRevision
     has_more: bool = False
 
 
@@ -95,7 +102,7 @@
 
 class _Events(msgspec.Struct, rename='kebab'):
     events: list[msgspec.Raw]
-    as_of: _Number
+    as_of: _StoreRevision
 
 
 class _Share(msgspec.Struct):
@@ -248,7 +255,7 @@
 _fields_decoder: Final = msgspec.json.Decoder(dict[str, msgspec.Raw])
 
 
-def decode_backend_page(body: bytes) -> Page:
+def decode_backend_page(body: bytes, restores: int = 0) -> Page:
     """Decode a page of backend servers; raises ``msgspec.DecodeError``.
 
     An unreadable entry is left out, with a sentence in ``faults``.
@@ -258,14 +265,16 @@
     faults: list[str] = []
     for raw in page.items:
         try:
-            entries.append(_decode_backend(_object_decoder.decode(raw)))
+            stored_object = _object_decoder.decode(raw)
+            entries.append(_decode_backend(stored_object, restores))
         except _DECODE_ERRORS as error:
             faults.append(_describe_fault(raw, error))
     next_name = _last_name(page.items) if page.has_more else ''
-    return Page(entries, faults, page.as_of, next_name)
+    revision = build_revision(restores, page.as_of)
+    return Page(entries, faults, revision, next_name)
 
 
-def decode_backend_changes(body: bytes) -> Changes:
+def decode_backend_changes(body: bytes, restores: int = 0) -> Changes:
     """Decode the result of a watch of backend servers.
 
     An entry that has become unreadable counts as removed, because its server
@@ -282,11 +291,14 @@
         except _DECODE_ERRORS as error:
             faults.append(_describe_fault(raw, error))
             continue
-        changes.append(_decode_change(stored_object, event.removed, faults))
-    return Changes(changes, faults, result.as_of)
+        changes.append(
+            _decode_change(stored_object, restores, event.removed, faults)
+        )
+    revision = build_revision(restores, result.as_of)
+    return Changes(changes, faults, revision)
 
 
-def decode_evacuation_page(body: bytes) -> EvacuationPage:
+def decode_evacuation_page(body: bytes, restores: int = 0) -> EvacuationPage:
     """Decode a page of the evacuated zones; raises ``msgspec.DecodeError``.
 
     The name of an object is a zone; what else it holds does not matter. An
@@ -301,10 +313,13 @@
         except msgspec.DecodeError as error:
             faults.append(_describe_fault(raw, error))
     next_name = _last_name(page.items) if page.has_more else ''
-    return EvacuationPage(frozenset(zones), faults, page.as_of, next_name)
+    revision = build_revision(restores, page.as_of)
+    return EvacuationPage(frozenset(zones), faults, revision, next_name)
 
 
-def decode_evacuation_changes(body: bytes) -> EvacuationChanges:
+def decode_evacuation_changes(
+    body: bytes, restores: int = 0
+) -> EvacuationChanges:
     """Decode the result of a watch of the evacuated zones.
 
     An unreadable event is skipped, so that its zone stays as it was. Raises
@@ -321,10 +336,13 @@
             faults.append(_describe_fault(raw, error))
         else:
             is_evacuated[name] = not event.removed
-    return EvacuationChanges(is_evacuated, faults, result.as_of)
+    revision = build_revision(restores, result.as_of)
+    return EvacuationChanges(is_evacuated, faults, revision)
 
 
-def decode_configuration_page(body: bytes) -> StoredConfiguration:
+def decode_configuration_page(
+    body: bytes, restores: int = 0
+) -> StoredConfiguration:
     """Decode the listing that contains the configuration.
 
     Raises:
@@ -332,10 +350,13 @@
             unreadable configuration, the table is None and there is a fault.
     """
     page = _page_decoder.decode(body)
-    return _newest_configuration(page.items, page.as_of)
+    revision = build_revision(restores, page.as_of)
+    return _newest_configuration(page.items, revision)
 
 
-def decode_configuration_changes(body: bytes) -> StoredConfiguration:
+def decode_configuration_changes(
+    body: bytes, restores: int = 0
+) -> StoredConfiguration:
     """Decode the result of a watch of the configuration.
 
     Raises ``msgspec.DecodeError``.
@@ -351,7 +372,8 @@
             continue
         if not event.removed:
             objects.append(event.object)
-    newest = _newest_configuration(objects, result.as_of)
+    revision = build_revision(restores, result.as_of)
+    newest = _newest_configuration(objects, revision)
     return newest._replace(faults=(*faults, *newest.faults))
 
 
@@ -520,22 +542,24 @@
 
 def _decode_change(
     stored_object: _Object,
+    restores: int,
     is_removed: bool,
     faults: list[str],
 ) -> BackendEntry | BackendRemoved:
     removal = BackendRemoved(
-        stored_object.meta.name, stored_object.meta.revision
+        stored_object.meta.name,
+        build_revision(restores, stored_object.meta.revision),
     )
     if is_removed:
         return removal
     try:
-        return _decode_backend(stored_object)
+        return _decode_backend(stored_object, restores)
     except _DECODE_ERRORS as error:
         faults.append(f'{stored_object.meta.name}: {error}')
         return removal
 
 
-def _decode_backend(stored_object: _Object) -> BackendEntry:
+def _decode_backend(stored_object: _Object, restores: int) -> BackendEntry:
     server = _server_decoder.decode(stored_object.spec)
     host, _, port = server.address.rpartition(':')
     # Only validates the address.
@@ -556,7 +580,7 @@
         server.slots,
         server.state == 'draining',
         server.born,
-        stored_object.meta.revision,
+        build_revision(restores, stored_object.meta.revision),
         math.ceil(server.warmup_left_ms),
     )
 
--- a/src/currantshore/platform/store.py
+++ b/src/currantshore/platform/store.py
@@ -1,6 +1,6 @@
 """Call the platform's store: paths, parameters and statuses."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import Final, Self, TypeVar
 
 from currantshore.errors import (
@@ -10,6 +10,11 @@
     StoreRefusedError,
 )
 from currantshore.internal.httpconnection import HttpConnection
+from currantshore.internal.revisions import (
+    MAX_RESTORES,
+    restores_of,
+    store_revision_of,
+)
 from currantshore.internal.steering.catalog import BackendEntry
 from currantshore.platform.objects import (
     Changes,
@@ -40,6 +45,9 @@
 _FIRST_ERA: Final = 1
 
 _DecodedT = TypeVar('_DecodedT')
+_WatchedT = TypeVar(
+    '_WatchedT', Changes, StoredConfiguration, EvacuationChanges
+)
 
 
 class StoreConnection:
@@ -49,16 +57,15 @@
     belongs to an earlier call, ``AnswerUnreadableError`` if it can't be
     decoded, ``StoreRefusedError`` if the store refuses the call, and
     ``HistoryLostError`` if it no longer has the changes that a watch starts
-    from.
+    from, or was restored since. Revisions are those of
+    ``currantshore.internal.revisions``.
     """
 
-    __slots__ = ('_connection', 'restores')
+    __slots__ = ('_connection',)
 
     def __init__(self, connection: HttpConnection) -> None:
         """Prefer ``from_endpoint``."""
         self._connection = connection
-        # How often the store had been restored at its last answer.
-        self.restores = 0
 
     @classmethod
     def from_endpoint(cls, endpoint: Endpoint) -> Self:
@@ -80,16 +87,15 @@
         timeout_s: float,
     ) -> Changes:
         """Wait up to ``wait_s`` for changes after ``revision``; return them."""
-        target = _watch_target(_BACKENDS, revision, wait_s)
-        changes = await self._get(target, timeout_s, decode_backend_changes)
+        changes = await self._watch(
+            _BACKENDS, revision, wait_s, timeout_s, decode_backend_changes
+        )
         is_newer = all(
             change.revision > revision
             for change in changes.changes
             if isinstance(change, BackendEntry)
         )
-        self._check_matches(
-            target, is_match=is_newer and changes.revision >= revision
-        )
+        self._check_matches(_BACKENDS, is_match=is_newer)
         return changes
 
     async def read_configuration(self, timeout_s: float) -> StoredConfiguration:
@@ -105,12 +111,13 @@
         timeout_s: float,
     ) -> StoredConfiguration:
         """Wait up to ``wait_s`` for a configuration after ``revision``."""
-        target = _watch_target(_CONFIGURATION, revision, wait_s)
-        configuration = await self._get(
-            target, timeout_s, decode_configuration_changes
+        return await self._watch(
+            _CONFIGURATION,
+            revision,
+            wait_s,
+            timeout_s,
+            decode_configuration_changes,
         )
-        self._check_matches(target, is_match=configuration.revision >= revision)
-        return configuration
 
     async def list_evacuated_zones(
         self, after: str, timeout_s: float
@@ -129,10 +136,13 @@
         timeout_s: float,
     ) -> EvacuationChanges:
         """Wait up to ``wait_s`` for changes after ``revision``."""
-        target = _watch_target(_EVACUATIONS, revision, wait_s)
-        changes = await self._get(target, timeout_s, decode_evacuation_changes)
-        self._check_matches(target, is_match=changes.revision >= revision)
-        return changes
+        return await self._watch(
+            _EVACUATIONS,
+            revision,
+            wait_s,
+            timeout_s,
+            decode_evacuation_changes,
+        )
 
     def close(self) -> None:
         """Close the connection; the next call opens a new one."""
@@ -147,20 +157,36 @@
                 f'{target}: the answer belongs to an earlier call'
             )
 
+    async def _watch(
+        self,
+        path: str,
+        revision: int,
+        wait_s: float,
+        timeout_s: float,
+        decode: Callable[[bytes, int], _WatchedT],
+    ) -> _WatchedT:
+        target = _watch_target(path, revision, wait_s)
+        changes = await self._get(target, timeout_s, decode)
+        if restores_of(changes.revision) != restores_of(revision):
+            # The restored store has given out this revision again.
+            raise HistoryLostError(target)
+        self._check_matches(target, is_match=changes.revision >= revision)
+        return changes
+
     async def _get(
         self,
         target: str,
         timeout_s: float,
-        decode: Callable[[bytes], _DecodedT],
+        decode: Callable[[bytes, int], _DecodedT],
     ) -> _DecodedT:
         answer = await self._connection.get(target, timeout_s)
-        self.restores = _decode_restores(target, self._connection.headers)
         if answer.status == _GONE:
             raise HistoryLostError(target)
         if answer.status != _OK:
             raise StoreRefusedError(target, answer.status)
+        era = self._connection.headers.get(_ERA_HEADER, b'')
         try:
-            return decode(answer.body)
+            return decode(answer.body, _decode_restores(era))
         except ValueError as error:
             # Includes msgspec's errors.
             raise AnswerUnreadableError(f'{target}: {error}') from error
@@ -173,17 +199,14 @@
 
 def _watch_target(path: str, revision: int, wait_s: float) -> str:
     wait_ms = round(wait_s * _MILLISECONDS)
-    return f'{path}?watch={revision}&wait-ms={wait_ms}'
+    return f'{path}?watch={store_revision_of(revision)}&wait-ms={wait_ms}'
 
 
-def _decode_restores(target: str, headers: Mapping[bytes, bytes]) -> int:
-    """Return how often the store had been restored when it answered.
-
-    Raises ``AnswerUnreadableError`` if the header is not a whole number.
-    """
-    era = headers.get(_ERA_HEADER, b'')
+def _decode_restores(era: bytes) -> int:
+    """Return how often the store has been restored; raises ``ValueError``."""
     if not era:
         return 0
-    if not era.isdigit():
-        raise AnswerUnreadableError(f'{target}: the era {era!r} is no number')
-    return max(0, int(era) - _FIRST_ERA)
+    restores = max(0, int(era) - _FIRST_ERA)
+    if restores > MAX_RESTORES:
+        raise ValueError(f'the era {era!r} exceeds {MAX_RESTORES}')
+    return restores
--- a/tests/contract/test_following.py
+++ b/tests/contract/test_following.py
@@ -47,6 +47,9 @@
     def evacuated_zones(self):
         return self.evacuated
 
+    def is_restored_since(self, revision):
+        return False
+
     def log_unreadable(self, kind, faults, origin):
         self.unreadable = tuple(faults)
 
