Compare a watch only with versions that the store may still have

Cause: a host that has just become a reader knows a version from other hosts only. If a restore has lost that version, the store's configuration is older, and each watch of it counted as silent after 0.4 s, was cancelled, and the reader counted as not served, until the operator wrote again.

Change: a reader that is behind reads the configuration instead of watching it. A read returns the newest version that the store has; what was known before it and is not in it is not waited for.

--- a/src/currantshore/internal/entry/subjects.py
+++ b/src/currantshore/internal/entry/subjects.py
@@ -67,12 +67,19 @@
         self.is_loaded = False
 
     async def step(self) -> None:
+        if self.is_behind():
+            # A watch would not return a version that the store has lost.
+            self.reset()
         if self._revision:
             update = await self._store.watch_configuration(
                 self._revision, _WATCH_WAIT_S, _WATCH_WAIT_S + _WATCH_MARGIN_S
             )
         else:
+            known_version = self._replica.mirror.newest_version
             update = await self._store.read_configuration(_READ_TIMEOUT_S)
+            # The read returns the store's newest version. A newer one that
+            # other hosts knew before was lost.
+            self._version = max(self._version, known_version)
         self._revision = max(self._revision, update.revision)
         if update.table is None:
             # No new configuration, or an unreadable one: the configuration in
