Hold back servers that only the copy of a restored store calls ready

What callers could see: after a restore the list of the store is as old as its copy. A server that had reported that it drains, or that had left, was ready again in it and got new flows until it had written again; an entry of an earlier start replaced the one of the later start; a server that had left became the owner of an address that another one has, and the flows of the latter could be ended as those of a replaced server. Class of fault: a list taken as news because of where it comes from.

Change: in a list that follows a restore, a server that was known to drain gets no new flows for 4 s, one that was known to have gone counts as suspect as long, and an entry of an earlier start is not used. After a restore the latest start owns an address. A change that is written after the restore counts at once. Writers repeat what was lost within 2 s of the store's return, and the store removes servers that have gone after three heartbeats.

Ruled out: ordering by the counter in each entry. It is not sent between hosts, and the entry of a server that lives and has nothing new to say stays as it is in the copy.

--- a/src/currantshore/internal/steering/choosing.py
+++ b/src/currantshore/internal/steering/choosing.py
@@ -255,7 +255,7 @@
 ) -> bool:
     match backend.standing:
         case Standing.READY:
-            may_open = True
+            may_open = now_s >= backend.draining_until_s
         case Standing.LAPSED:
             may_open = now_s - backend.lapsed_s < costs.lapse_grace_s
         case Standing.DRAINING:
--- a/src/currantshore/internal/steering/directory.py
+++ b/src/currantshore/internal/steering/directory.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from currantshore.internal.hashing import short_hash
+from currantshore.internal.revisions import restores_of
 from currantshore.internal.steering.catalog import BackendEntry, BackendRemoved
 from currantshore.wire import Endpoint
 
@@ -18,6 +19,11 @@
 # has gone. The grace period lies between the two.
 LAPSE_GRACE_S: Final = 2.5
 
+# The list of a store that was restored from an older copy may name servers as
+# ready that drain or have gone. Writers repeat what was lost within about 2 s,
+# and the store removes a server that has gone after three of its heartbeats.
+RESTORE_GRACE_S: Final = 4.0
+
 # For up to the platform's flow lifetime of 60 s after a backend has gone,
 # packets can carry its token.
 _FORGET_AFTER_S: Final = 60.0
@@ -47,7 +53,9 @@
     before the first answer. ``latency_ratio`` is the mean of its latencies
     divided by the usual latency of their routes. The backend is cold until
     ``cold_until_s`` at the latest, and ``returned_s`` is when it last answered
-    after a silence in which it may have started again. ``is_replaced`` is
+    after a silence in which it may have started again. Until
+    ``draining_until_s`` it counts as draining, whatever its entry says.
+    ``is_replaced`` is
     whether another backend has its address now, ``is_shadowed`` whether another
     one has its token.
     """
@@ -55,6 +63,7 @@
     __slots__ = (
         'cold_until_s',
         'entry',
+        'draining_until_s',
         'flow_count',
         'is_replaced',
         'is_shadowed',
@@ -86,6 +95,7 @@
         self.is_shadowed = False
         self.cold_until_s = 0.0
         self.returned_s = -math.inf
+        self.draining_until_s = 0.0
         self.update(entry, now_s)
 
     def record_answer(self, now_s: float) -> None:
@@ -110,6 +120,7 @@
             left_s = entry.warmup_left_ms / _MILLISECONDS
             self.cold_until_s = max(self.cold_until_s, now_s + left_s)
         self.lapsed_s = 0.0
+        self.draining_until_s = 0.0
         self.standing = (
             Standing.DRAINING if entry.is_draining else Standing.READY
         )
@@ -148,7 +159,7 @@
         '_by_id',
         '_by_token',
         '_evacuated_services',
-        '_evacuated_zones',
+        'evacuated_zones',
         '_far',
         '_is_index_stale',
         '_near',
@@ -166,7 +177,7 @@
         self._near: dict[str, list[Backend]] = {}
         self._far: dict[str, list[Backend]] = {}
         self._is_index_stale = False
-        self._evacuated_zones: frozenset[str] = frozenset()
+        self.evacuated_zones: frozenset[str] = frozenset()
         # Services with a backend in an evacuated zone.
         self._evacuated_services: set[str] = set()
         self.revision = 0
@@ -210,9 +221,9 @@
 
         Evacuated backends keep their flows and are found by their tokens.
         """
-        if zones == self._evacuated_zones:
+        if zones == self.evacuated_zones:
             return False
-        self._evacuated_zones = zones
+        self.evacuated_zones = zones
         self._rebuild_index()
         return True
 
@@ -237,17 +248,22 @@
         """Apply the complete listing of ``revision``; return changed ids.
 
         Backends that are missing in it have lapsed, unless their entries are
-        newer than the listing.
+        newer than the listing. After a restore of the store, an entry may be
+        older than the known one.
         """
-        listed: set[str] = set()
-        changed: list[str] = []
-        for entry in entries:
-            listed.add(entry.backend_id)
-            if self._apply_entry(entry, now_s):
-                changed.append(entry.backend_id)
+        usable = {
+            entry.backend_id: entry
+            for entry in entries
+            if not self._is_of_earlier_start(entry)
+        }
+        changed = [
+            entry.backend_id
+            for entry in usable.values()
+            if self._apply_listed(entry, now_s)
+        ]
         for backend_id, backend in self._by_id.items():
             is_newer = backend.entry.revision > revision
-            if backend_id not in listed and not is_newer:
+            if backend_id not in usable and not is_newer:
                 if self._lapse(backend, now_s):
                     changed.append(backend_id)
         self._finish_update(revision)
@@ -290,6 +306,34 @@
         if expired:
             self._rebuild_index()
 
+    def _is_of_earlier_start(self, entry: BackendEntry) -> bool:
+        """Return whether a restore lost a later start of the backend."""
+        known = self._by_id.get(entry.backend_id)
+        return (
+            known is not None
+            and _is_restored_between(known.entry, entry)
+            and entry.started_ms < known.entry.started_ms
+        )
+
+    def _apply_listed(self, entry: BackendEntry, now_s: float) -> bool:
+        known = self._by_id.get(entry.backend_id)
+        if (
+            known is None
+            or known.entry.started_ms != entry.started_ms
+            or not _is_restored_between(known.entry, entry)
+        ):
+            return self._apply_entry(entry, now_s)
+        former = known.standing
+        has_changed = self._apply_entry(entry, now_s)
+        match former:
+            case Standing.DRAINING:
+                known.draining_until_s = now_s + RESTORE_GRACE_S
+            case Standing.LAPSED:
+                known.suspect_until_s = now_s + RESTORE_GRACE_S
+            case Standing.READY:
+                pass
+        return has_changed
+
     def _apply_entry(self, entry: BackendEntry, now_s: float) -> bool:
         backend = self._by_id.get(entry.backend_id)
         if backend is None:
@@ -336,11 +380,11 @@
     def _update_endpoint(self, backend: Backend) -> None:
         # An address is reused only after its backend has ended, and a backend
         # that has ended does not announce itself. The newest announcement
-        # therefore names the owner.
+        # therefore names the owner, and after a restore the latest start.
         endpoint = backend.entry.endpoint
         owner = self._by_endpoint.setdefault(endpoint, backend)
         has_moved = owner.entry.endpoint != endpoint
-        is_newest = backend.entry.revision >= owner.entry.revision
+        is_newest = _is_announced_after(backend.entry, owner.entry)
         backend.is_replaced = not (is_newest or has_moved)
         if backend.is_replaced or owner is backend:
             return
@@ -349,7 +393,7 @@
             owner.is_replaced = True
 
     def _add_to_service(self, backend: Backend) -> None:
-        if backend.entry.zone in self._evacuated_zones:
+        if backend.entry.zone in self.evacuated_zones:
             self._evacuated_services.add(backend.entry.service_id)
             return
         is_near = backend.entry.zone == self.zone
@@ -376,5 +420,16 @@
                 self._add_to_service(backend)
 
 
+def _is_restored_between(known: BackendEntry, entry: BackendEntry) -> bool:
+    return restores_of(known.revision) < restores_of(entry.revision)
+
+
+def _is_announced_after(entry: BackendEntry, other: BackendEntry) -> bool:
+    is_same_history = restores_of(entry.revision) == restores_of(other.revision)
+    if is_same_history or entry.started_ms == other.started_ms:
+        return entry.revision >= other.revision
+    return entry.started_ms > other.started_ms
+
+
 def _index_key(entry: BackendEntry) -> tuple[str, str]:
     return entry.zone, entry.service_id
