Keep zones evacuated that the copy of a restored store leaves out

What could be seen: an evacuation that the store had confirmed and then lost ended on all hosts as soon as one reader had listed the copy, until the operator wrote it again (EVAC).

The log and the gauge show the zones in force.

--- a/src/currantshore/internal/entry/forwarding.py
+++ b/src/currantshore/internal/entry/forwarding.py
@@ -104,10 +104,21 @@
                     backend_id=replaced.entry.backend_id,
                     entry_revision=store_revision_of(replaced.entry.revision),
                 )
+            if actions.has_changed_zones:
+                self._log_returned_zones()
             self.on_flows_lost(actions.resets)
             for backend in actions.checks:
                 self.fire(CheckRequested(backend), 'checks')
 
+    def _log_returned_zones(self) -> None:
+        """Log that zones returned which a restored store leaves out."""
+        self._log.write(
+            'evacuated_zones_changed',
+            zones=sorted(self._core.directory.evacuated_zones),
+            revision=store_revision_of(self._core.evacuated.revision),
+            origin='restore',
+        )
+
     @handler('flows_lost')  # type: ignore[untyped-decorator]
     def on_flows_lost(self, resets: Iterable[FlowReset]) -> None:
         """Reset flows whose backend server is gone."""
--- a/src/currantshore/internal/entry/host.py
+++ b/src/currantshore/internal/entry/host.py
@@ -308,7 +308,7 @@
             'configuration_version': self._steering.table.version,
             'backend_revision': store_revision_of(self._mirror.revision),
             'store_restores': restores_of(self._mirror.revision),
-            'evacuated_zones': len(self._steering.evacuated.zones),
+            'evacuated_zones': len(self._steering.directory.evacuated_zones),
             'known_hosts': self._mirror.known_hosts(),
             'is_reader': self._mirror.role.is_reader,
             'is_current': self._steering.is_current(self._loop.time()),
--- a/src/currantshore/internal/entry/storereplica.py
+++ b/src/currantshore/internal/entry/storereplica.py
@@ -145,11 +145,10 @@
 
     def log_evacuated_zones(self, origin: str) -> None:
         """Log the evacuated zones after a change that came from ``origin``."""
-        evacuated = self._steering.evacuated
         self._log.write(
             'evacuated_zones_changed',
-            zones=sorted(evacuated.zones),
-            revision=store_revision_of(evacuated.revision),
+            zones=sorted(self._steering.directory.evacuated_zones),
+            revision=store_revision_of(self._steering.evacuated.revision),
             origin=origin,
         )
 
--- a/src/currantshore/internal/steering/core.py
+++ b/src/currantshore/internal/steering/core.py
@@ -10,6 +10,7 @@
 from typing import Final, NamedTuple, Self
 
 from currantshore.codes import FlowRefusal
+from currantshore.internal.revisions import restores_of
 from currantshore.internal.steering.answers import AnswerRecorder
 from currantshore.internal.steering.catalog import (
     BackendEntry,
@@ -18,6 +19,7 @@
     RoutingTable,
 )
 from currantshore.internal.steering.directory import (
+    RESTORE_GRACE_S,
     Backend,
     BackendDirectory,
 )
@@ -90,6 +92,7 @@
     copies: list[OpeningCopy] = dataclasses.field(default_factory=list)
     checks: list[Backend] = dataclasses.field(default_factory=list)
     replaced: list[Backend] = dataclasses.field(default_factory=list)
+    has_changed_zones: bool = False
     resets: list[FlowReset] = dataclasses.field(default_factory=list)
 
 
@@ -109,6 +112,8 @@
         '_openings',
         '_routes',
         '_stall_after_s',
+        '_unconfirmed_until_s',
+        '_unconfirmed_zones',
         '_unknown_tokens',
         'directory',
         'evacuated',
@@ -133,6 +138,10 @@
         self._unknown_tokens = UnknownTokens.from_config(switched_off)
         self.directory = BackendDirectory(zone)
         self.evacuated = EvacuatedZones(0, frozenset())
+        # Zones that were evacuated before the store was restored and are
+        # missing in its copy.
+        self._unconfirmed_zones: frozenset[str] = frozenset()
+        self._unconfirmed_until_s = 0.0
         self.records = FlowRecords(switched_off)
         self.warmup = WarmupLimiter.from_config(
             zone, warmup_bounds, switched_off
@@ -211,15 +220,33 @@
     def evacuate(self, evacuated: EvacuatedZones, now_s: float) -> bool:
         """Place no new flows in ``evacuated.zones`` if that is newer.
 
-        Returns whether the set of zones has changed. Open flows stay. Backends
-        of a zone that returns may have become cold without this host having
-        their new entries, and count as cold.
+        Returns whether the set of zones has changed. Open flows stay. After a
+        restore of the store, zones that its copy leaves out stay evacuated for
+        ``RESTORE_GRACE_S``, in which operators write again what was lost.
         """
         if evacuated.revision <= self.evacuated.revision:
             return False
-        returned = self.evacuated.zones - evacuated.zones
+        in_force = self.directory.evacuated_zones
+        is_restored = restores_of(evacuated.revision) > restores_of(
+            self.evacuated.revision
+        )
         self.evacuated = evacuated
-        has_changed = self.directory.evacuate(evacuated.zones)
+        if is_restored:
+            self._unconfirmed_zones = in_force - evacuated.zones
+            self._unconfirmed_until_s = now_s + RESTORE_GRACE_S
+        return self._evacuate_in_force(now_s)
+
+    def _evacuate_in_force(self, now_s: float) -> bool:
+        """Apply the zones in force; return whether the set has changed.
+
+        Backends of a zone that returns may have become cold without this host
+        having their new entries, and count as cold.
+        """
+        if now_s >= self._unconfirmed_until_s:
+            self._unconfirmed_zones = frozenset()
+        in_force = self.evacuated.zones | self._unconfirmed_zones
+        returned = self.directory.evacuated_zones - in_force
+        has_changed = self.directory.evacuate(in_force)
         if returned:
             cold = self.directory.in_zones(returned)
             self.warmup.warm_up_again(cold, now_s)
@@ -335,6 +362,8 @@
         self._last_tick_s = now_s
         self.warmup.tick(now_s)
         actions = TickActions()
+        if self._unconfirmed_zones:
+            actions.has_changed_zones = self._evacuate_in_force(now_s)
         if now_s >= self._evaluate_from_s:
             self.records.expire_openings(now_s)
             silent = self.watches.evaluate(now_s, self._openings.late_after_s())
