Restore the store in the soak

A restore takes the store away, cuts its connections in four of five cases, and brings back a copy of 0.3 to 6 s before; what was lost is written again up to 1.5 s later. At the end, each host has to have the newest configuration, the number of restores, and data that counts as current.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -167,6 +167,7 @@
         system.guarantees.check(
             is_open, f'{entry.host}: does not serve at the end'
         )
+    await system.check_beliefs()
 
 
 def main() -> int:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -38,6 +38,19 @@
     """The store discards its history of changes."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RestoredStore:
+    """The store is away and comes back from a copy that is ``age_s`` old.
+
+    Its writers write again what was lost after ``rewrite_s``. If ``away_s`` is
+    0, no connection is cut.
+    """
+
+    age_s: float
+    away_s: float
+    rewrite_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class BackendFault:
     """A backend server goes silent, loses packets, or answers late."""
@@ -80,6 +93,7 @@
     | StoreFault
     | SilencedConnections
     | LostHistory
+    | RestoredStore
     | BackendFault
     | Drain
     | ChangedRoutes
@@ -97,6 +111,10 @@
 # Cold starts among the faults of zones; the others are evacuations.
 _COLD_START_RATIO: Final = 0.5
 
+# Seconds between two restores of the store.
+_RESTORE_GAPS_S: Final = (2.5, 5.0, 9.0)
+_CUT_RATIO: Final = 0.8
+
 # Seconds between two faults of zones, which last longer than others.
 _ZONE_FAULT_GAPS_S: Final = (1.0, 2.5, 4.0)
 
@@ -113,9 +131,10 @@
     ) -> None:
         """Draw faults for the given hosts, backend servers and zones."""
         self._rng = random.Random(seed)
-        # Faults of zones are drawn apart, so that a seed of an earlier release
-        # still gives the other faults that it gave then.
+        # Faults of zones and restores are drawn apart, so that a seed of an
+        # earlier release still gives the other faults that it gave then.
         self._zone_rng = random.Random(f'zones {seed}')
+        self._restore_rng = random.Random(f'restores {seed}')
         self._zones = zones
         self._host_count = host_count
         self._backend_count = backend_count
@@ -141,6 +160,7 @@
             gap_s = self._rng.choice((0, 0.2, 0.7, 1.5))
             at_s += gap_s
         scheduled += self._zone_faults(length_s)
+        scheduled += self._restores(length_s)
         return sorted(scheduled, key=lambda item: item[0])
 
     def _zone_faults(self, length_s: float) -> Iterator[tuple[float, Fault]]:
@@ -154,6 +174,16 @@
                 yield at_s, Evacuation(zone, rng.uniform(0.2, 6))
             at_s += rng.choice(_ZONE_FAULT_GAPS_S)
 
+    def _restores(self, length_s: float) -> Iterator[tuple[float, Fault]]:
+        rng = self._restore_rng
+        at_s = rng.choice(_RESTORE_GAPS_S)
+        while at_s < length_s:
+            is_cut = rng.random() < _CUT_RATIO
+            away_s = rng.uniform(0.1, 2) if is_cut else 0
+            age_s = rng.uniform(0.3, 6)
+            yield at_s, RestoredStore(age_s, away_s, rng.uniform(0, 1.5))
+            at_s += rng.choice(_RESTORE_GAPS_S)
+
     def _host_fault(self) -> Fault:
         kind = self._rng.choice(_HOST_KINDS)
         return HostFault(kind, self._choose_hosts(), self._rng.uniform(0.2, 3))
--- a/soak/system.py
+++ b/soak/system.py
@@ -18,13 +18,14 @@
     Fault,
     HostFault,
     LostHistory,
+    RestoredStore,
     SilencedConnections,
     StoreFault,
 )
 from soak.guarantees import IN_FORCE_S, Disturbances, GuaranteeChecker
 from soak.proxies import BackendProxy, Impairment, StoreProxy
 from standins.entries import EntryProcess, free_port
-from standins.objectstore import ObjectStore, StoreServer
+from standins.objectstore import ObjectStore, StoreCopy, StoreServer
 from standins.packetends import PacketBackend, PacketCaller
 
 ADDRESS: Final = '198.18.0.1'
@@ -44,6 +45,8 @@
 # A backend server that starts again is silent before for this long.
 _RESTART_S: Final = 1.5
 
+_COPY_INTERVAL_S: Final = 0.25
+
 _MILLISECONDS: Final = 1000
 
 # A process may use the platform's grace period to stop, and needs more time on
@@ -69,6 +72,7 @@
         # Soaks that run at the same time use different backend addresses.
         self._backend_ip = f'127.0.{2 + seed % 250}.1'
         self._host_count = host_count
+        self._store_copies: list[tuple[float, StoreCopy]] = []
         self._store_proxies: list[StoreProxy] = []
         self._server_proxies: list[BackendProxy] = []
         self._stack = contextlib.AsyncExitStack()
@@ -92,6 +96,8 @@
         self._stack.callback(self.caller.stop)
         await self._start_backends(ports[0])
         await self._write_configuration()
+        copying = self._loop.create_task(self._copy_store())
+        self._stack.callback(copying.cancel)
         for host_index in range(self._host_count):
             proxy = StoreProxy(server.port)
             await proxy.start()
@@ -120,6 +126,21 @@
             (directory / f'{entry.host}.log').write_bytes(entry.output)
         (directory / 'faults.log').write_text('\n'.join(self._applied_faults))
 
+    async def check_beliefs(self) -> None:
+        """Check that each host has the newest configuration and history."""
+        expected = {
+            'configuration_version': self._version,
+            'store_restores': self.store.era - 1,
+            'is_current': 1,
+        }
+        for entry in self.entries:
+            page = (await entry.fetch_metrics()).decode()
+            for name, number in expected.items():
+                line = f'currantshore_entry_{name} {float(number)}\n'
+                self.guarantees.check(
+                    line in page, f'{entry.host}: expected {line.strip()}'
+                )
+
     def is_up(self, host_index: int) -> bool:
         """Return whether routers would send packets to a host."""
         return host_index not in self._unavailable_hosts
@@ -146,6 +167,8 @@
             case LostHistory():
                 self.disturbances.store_s = self._loop.time()
                 self.store.forget_history()
+            case RestoredStore():
+                await self._restore_store(fault)
             case BackendFault(kind=kind, backend=backend, for_s=for_s):
                 await self._impair_backend(kind, backend, for_s)
             case Drain(backend=backend, for_s=for_s):
@@ -210,6 +233,27 @@
             self._store_proxies[host_index].impairment = Impairment.NONE
             self._record_host_disturbance(host_index)
 
+    async def _copy_store(self) -> None:
+        while True:
+            self._store_copies.append((self._loop.time(), self.store.copy()))
+            await asyncio.sleep(_COPY_INTERVAL_S)
+
+    async def _restore_store(self, fault: RestoredStore) -> None:
+        hosts = tuple(range(self._host_count)) if fault.away_s else ()
+        taken_s = self._loop.time() - fault.age_s
+        copy = next(
+            kept
+            for at_s, kept in reversed(self._store_copies)
+            if at_s <= taken_s or at_s == self._store_copies[0][0]
+        )
+        self.disturbances.store_s = self._loop.time()
+        await self._impair_store(Impairment.RESET, hosts, fault.away_s)
+        await self.store.restore(copy)
+        self.disturbances.store_s = self._loop.time()
+        await asyncio.sleep(fault.rewrite_s)
+        await self.store.write_again()
+        self.disturbances.store_s = self._loop.time()
+
     async def _impair_backend(
         self, kind: str, backend_index: int, for_s: float
     ) -> None:
--- a/standins/objectstore.py
+++ b/standins/objectstore.py
@@ -71,6 +71,9 @@
         self.calls: collections.Counter[str] = collections.Counter()
         self._page_size = page_size
         self._objects: dict[str, _Objects] = {}
+        # What was written last, in the order of the writes; no restore loses
+        # it.
+        self._written: dict[tuple[str, str], Any] = {}
         self._events: collections.deque[_Event] = collections.deque(
             maxlen=history
         )
@@ -79,6 +82,8 @@
 
     async def put(self, kind: str, name: str, spec: Any) -> int:
         """Create or replace an object; return the store's revision."""
+        self._written.pop((kind, name), None)
+        self._written[kind, name] = spec
         objects_of_kind = self._objects.setdefault(kind, {})
         old = objects_of_kind.get(name)
         if old is not None and old['spec'] == spec:
@@ -104,6 +109,7 @@
 
     async def remove(self, kind: str, name: str) -> None:
         """Remove an object if it exists."""
+        self._written.pop((kind, name), None)
         found = self._objects.get(kind, {}).pop(name, None)
         if found is not None:
             self.revision += 1
@@ -143,16 +149,15 @@
         async with self._changed:
             self._changed.notify_all()
 
-    async def write_again(self, lost: StoreCopy) -> None:
-        """Write what ``lost`` had, of each kind in the order it had."""
-        for kind, objects_of_kind in self.copy().kinds.items():
-            for name in (
-                objects_of_kind.keys() - lost.kinds.get(kind, {}).keys()
-            ):
-                await self.remove(kind, name)
-        for kind, found in lost.kinds.items():
-            for name, stored in sorted(found.items(), key=_revision_of):
-                await self.put(kind, name, stored['spec'])
+    async def write_again(self) -> None:
+        """Write what a restore has lost, as the writers of the objects do."""
+        written = list(self._written.items())
+        for kind, found in self.copy().kinds.items():
+            for name in found:
+                if (kind, name) not in self._written:
+                    await self.remove(kind, name)
+        for (kind, name), spec in written:
+            await self.put(kind, name, spec)
 
     def page(self, kind: str, after: str) -> dict[str, Any]:
         """Return the page of objects whose names follow ``after``."""
@@ -200,11 +205,6 @@
             self._changed.notify_all()
 
 
-def _revision_of(item: tuple[str, dict[str, Any]]) -> int:
-    revision: int = item[1]['meta']['revision']
-    return revision
-
-
 class StoreServer:
     """Serves an ``ObjectStore`` over HTTP."""
 
