Hold back what a restore lost for as long as lapsed entries

Hosts kept the zone evacuated for 4 s after they had listed the copy without it, and counted its servers as cold for 2 s more, so that an added route was refused as service_warming 3 s after its configuration. The users' pages say that writers are back within about 2 s of the store's return, which is what LAPSE_GRACE_S (2.5 s) stands for; the same time serves here. The further 1.5 s bought nothing: servers that have gone are only the last choice in it.

--- a/src/currantshore/internal/steering/directory.py
+++ b/src/currantshore/internal/steering/directory.py
@@ -20,9 +20,9 @@
 LAPSE_GRACE_S: Final = 2.5
 
 # The list of a store that was restored from an older copy may name servers as
-# ready that drain or have gone. Writers repeat what was lost within about 2 s,
-# and the store removes a server that has gone after three of its heartbeats.
-RESTORE_GRACE_S: Final = 4.0
+# ready that drain or have gone. Writers repeat what was lost within about 2 s
+# of the store's return, as with lapsed entries.
+RESTORE_GRACE_S: Final = LAPSE_GRACE_S
 
 # For up to the platform's flow lifetime of 60 s after a backend has gone,
 # packets can carry its token.
