--- a/src/currantshore/codes.py
+++ b/src/currantshore/codes.py
@@ -97,7 +97,6 @@
     NOT_CURRENT = 351
     TOKEN_UNKNOWN = 352
     SERVICE_MISMATCH = 353
-    OPENING_PENDING = 354
 
     @property
     def is_told(self) -> bool:
--- a/src/currantshore/internal/steering/openings.py
+++ b/src/currantshore/internal/steering/openings.py
@@ -14,7 +14,6 @@
 from currantshore.internal.steering.directory import (
     Backend,
     BackendDirectory,
-    Standing,
 )
 from currantshore.internal.steering.flowrecords import FlowRecord, FlowRecords
 from currantshore.internal.steering.lateopenings import (
@@ -118,18 +117,11 @@
         route: Route,
         now_s: float,
     ) -> Decision:
-        """Place a repeated opening, preferably on an untried backend.
-
-        A backend that got the opening before may have answered it already, and
-        a reset would end the open flow. It is not refused to the caller while
-        one of them may answer.
-        """
+        """Place a repeated opening, preferably on an untried backend."""
         backend = self._choose(route, record.tried, now_s)
         if backend is None:
             backend = self._choose(route, (), now_s)
         if backend is None:
-            if any(map(_may_answer, record.tried)):
-                return FlowRefusal.OPENING_PENDING
             return self._refusal(route, now_s)
         self._warmup.record_opening(backend, now_s)
         self._records.add_attempt(flow_key, record, backend, now_s)
@@ -206,7 +198,3 @@
         if not any(weights):
             return None
         return self._rng.choices(shares, weights)[0].service_id
-
-
-def _may_answer(backend: Backend) -> bool:
-    return backend.standing is not Standing.LAPSED
