List once after a restore that the store does not confirm

Cause: a watch from before a restore that any host had reported was cancelled and listed again.

Change: a subject remembers the restores that were known when it began to list. Only a later one makes its watch outdated.

--- a/src/currantshore/internal/entry/storereplica.py
+++ b/src/currantshore/internal/entry/storereplica.py
@@ -131,13 +131,9 @@
             self.log_evacuated_zones('store')
             self.send_announcements(self.mirror.announce(now_s))
 
-    def is_restored_since(self, revision: int) -> bool:
-        """Return whether hosts know of a restore after ``revision``.
-
-        False if ``revision`` is 0, which stands for none.
-        """
-        newest = restores_of(self.mirror.newest_revision)
-        return 0 < revision and restores_of(revision) < newest
+    def newest_restores(self) -> int:
+        """Return the most restores of the store that any host has reported."""
+        return restores_of(self.mirror.newest_revision)
 
     def evacuated_zones(self) -> EvacuatedZones:
         """Return the evacuated zones that are in force on this host."""
--- a/src/currantshore/internal/entry/subjects.py
+++ b/src/currantshore/internal/entry/subjects.py
@@ -52,15 +52,44 @@
         """
 
 
+class _KnownRestores:
+    """The restores of the store that hosts knew at the last listing.
+
+    A later one makes the watch after that listing outdated. One that was known
+    before does not: the listing has the store's newest state, whatever a host
+    says of it.
+    """
+
+    __slots__ = ('_at_listing', '_replica')
+
+    def __init__(self, replica: StoreReplica) -> None:
+        self._replica = replica
+        self._at_listing = 0
+
+    def record_listing(self) -> None:
+        self._at_listing = self._replica.newest_restores()
+
+    def are_newer_known(self) -> bool:
+        return self._at_listing < self._replica.newest_restores()
+
+
 class ConfigurationSubject:
     """Follows the configuration."""
 
-    __slots__ = ('_replica', '_revision', '_store', '_version', 'is_loaded')
+    __slots__ = (
+        '_replica',
+        '_restores',
+        '_revision',
+        '_store',
+        '_version',
+        'is_loaded',
+    )
 
     name = 'configuration'
 
     def __init__(self, replica: StoreReplica, store: StoreConnection) -> None:
         self._replica = replica
+        self._restores = _KnownRestores(replica)
         self._store = store
         self._revision = 0
         self._version = 0
@@ -75,6 +104,7 @@
                 self._revision, _WATCH_WAIT_S, _WATCH_WAIT_S + _WATCH_MARGIN_S
             )
         else:
+            self._restores.record_listing()
             known_version = self._replica.mirror.newest_version
             update = await self._store.read_configuration(_READ_TIMEOUT_S)
             # The read returns the store's newest version. A newer one that
@@ -103,18 +133,19 @@
         return self._version < self._replica.mirror.newest_version
 
     def is_outdated(self) -> bool:
-        return self._replica.is_restored_since(self._revision)
+        return 0 < self._revision and self._restores.are_newer_known()
 
 
 class BackendSubject:
     """Follows the backend servers."""
 
-    __slots__ = ('_replica', '_revision', '_store', 'is_loaded')
+    __slots__ = ('_replica', '_restores', '_revision', '_store', 'is_loaded')
 
     name = 'backend_servers'
 
     def __init__(self, replica: StoreReplica, store: StoreConnection) -> None:
         self._replica = replica
+        self._restores = _KnownRestores(replica)
         self._store = store
         self._revision = 0
         self.is_loaded = False
@@ -138,9 +169,10 @@
         return self._revision < self._replica.mirror.peer_revision
 
     def is_outdated(self) -> bool:
-        return self._replica.is_restored_since(self._revision)
+        return 0 < self._revision and self._restores.are_newer_known()
 
     async def _list_all(self) -> None:
+        self._restores.record_listing()
         pages = await _read_pages(self._store.list_backends)
         # Later pages may be newer, so the watch starts at the first page's
         # revision.
@@ -154,12 +186,20 @@
 class EvacuationSubject:
     """Follows the evacuated zones."""
 
-    __slots__ = ('_replica', '_revision', '_store', '_zones', 'is_loaded')
+    __slots__ = (
+        '_replica',
+        '_restores',
+        '_revision',
+        '_store',
+        '_zones',
+        'is_loaded',
+    )
 
     name = 'evacuated_zones'
 
     def __init__(self, replica: StoreReplica, store: StoreConnection) -> None:
         self._replica = replica
+        self._restores = _KnownRestores(replica)
         self._revision = 0
         self._store = store
         self._zones: frozenset[str] = frozenset()
@@ -184,7 +224,7 @@
         return is_older and newest.zones != self._zones
 
     def is_outdated(self) -> bool:
-        return self._replica.is_restored_since(self._revision)
+        return 0 < self._revision and self._restores.are_newer_known()
 
     async def _watch(self) -> Iterable[str]:
         update = await self._store.watch_evacuated_zones(
@@ -200,6 +240,7 @@
         return update.faults
 
     async def _list_all(self) -> Iterable[str]:
+        self._restores.record_listing()
         pages = await _read_pages(self._store.list_evacuated_zones)
         # The watch starts at the revision of the first page, as for servers.
         self._revision = pages[0].revision
--- a/tests/contract/test_following.py
+++ b/tests/contract/test_following.py
@@ -47,8 +47,8 @@
     def evacuated_zones(self):
         return self.evacuated
 
-    def is_restored_since(self, revision):
-        return False
+    def newest_restores(self):
+        return 0
 
     def log_unreadable(self, kind, faults, origin):
         self.unreadable = tuple(faults)
--- a/tests/contract/test_restored_store.py
+++ b/tests/contract/test_restored_store.py
@@ -15,6 +15,8 @@
 from currantshore.internal.entry.following import StoreFollower
 from currantshore.internal.entry.storereplica import StoreReplica
 from currantshore.internal.mirror.core import MirrorConfig, MirrorCore
+from currantshore.internal.mirror.messages import Digest
+from currantshore.internal.revisions import build_revision
 from currantshore.internal.steering.core import SteeringCore
 from currantshore.internal.steering.directory import Standing
 from currantshore.wire import Endpoint
@@ -326,6 +328,18 @@
 
         self.run_scenario(scenario)
 
+    def test_a_wrong_report_of_a_restore_costs_one_listing(self):
+        async def scenario():
+            before = self.follower.calls.total()
+            wrong = Digest(_ZONE, 100, 1, build_revision(7, 1), (), ())
+            now_s = asyncio.get_running_loop().time()
+            self.reader.mirror.on_message(_OTHER, wrong, now_s)
+            await asyncio.sleep(_IN_FORCE_S)
+            # Each subject lists once, and then watches for 2.4 s.
+            self.assertLess(self.follower.calls.total() - before, 12)
+
+        self.run_scenario(scenario)
+
     def test_no_watch_counts_as_silent_for_a_version_that_was_lost(self):
         # A host that has just become a reader knows the version only from
         # other hosts.
