Keep a draining server back through two restores in a row

Cause: a server that only the first copy calls ready was known as ready when the second list came, so that its grace period ended with that list.

--- a/src/currantshore/internal/steering/catalog.py
+++ b/src/currantshore/internal/steering/catalog.py
@@ -1,5 +1,8 @@
 """Data classes for routes, services and backend servers.
 
+Revisions are those of ``internal/revisions``, which also order what the store
+says after it was restored from an older copy.
+
 The platform's configuration declares the routes with their services. Backend
 servers announce their entries in the platform's store, which every host copies.
 """
--- a/src/currantshore/internal/steering/directory.py
+++ b/src/currantshore/internal/steering/directory.py
@@ -316,6 +316,7 @@
         )
 
     def _apply_listed(self, entry: BackendEntry, now_s: float) -> bool:
+        """Apply an entry of a listing; hold back what only a copy says."""
         known = self._by_id.get(entry.backend_id)
         if (
             known is None
@@ -323,15 +324,16 @@
             or not _is_restored_between(known.entry, entry)
         ):
             return self._apply_entry(entry, now_s)
-        former = known.standing
+        was_lapsed = known.standing is Standing.LAPSED
+        was_draining = (
+            known.standing is Standing.DRAINING
+            or now_s < known.draining_until_s
+        )
         has_changed = self._apply_entry(entry, now_s)
-        match former:
-            case Standing.DRAINING:
-                known.draining_until_s = now_s + RESTORE_GRACE_S
-            case Standing.LAPSED:
-                known.suspect_until_s = now_s + RESTORE_GRACE_S
-            case Standing.READY:
-                pass
+        if was_lapsed:
+            known.suspect_until_s = now_s + RESTORE_GRACE_S
+        if was_draining:
+            known.draining_until_s = now_s + RESTORE_GRACE_S
         return has_changed
 
     def _apply_entry(self, entry: BackendEntry, now_s: float) -> bool:
--- a/tests/cover/test_restored_lists.py
+++ b/tests/cover/test_restored_lists.py
@@ -78,6 +78,22 @@
         # It did not report again that it drains.
         self.assertIn(draining.backend_id, self.opened_at(last_s))
 
+    def test_a_second_restore_soon_after_keeps_it_back(self):
+        draining = dataclasses.replace(
+            kit.make_entry(1), is_draining=True, revision=500
+        )
+        self.core.apply_backend_changes([draining], 500, 1)
+        self.restore(self.listed(1), self.listed(2), now_s=2)
+        again = [
+            dataclasses.replace(
+                kit.make_entry(number), revision=restored(1, restores=2)
+            )
+            for number in (1, 2)
+        ]
+        self.core.replace_backends(again, restored(10, restores=2), 3)
+        last_s = 3 + RESTORE_GRACE_S
+        self.assertNotIn(draining.backend_id, self.opened_at(last_s - 0.1))
+
     def test_a_server_that_reports_after_the_restore_is_believed(self):
         draining = dataclasses.replace(
             kit.make_entry(1), is_draining=True, revision=500
