List each kind once when a host starts after a restore

Cause: the first list of the servers showed a restore that the reads before it had been made without knowing, so that each start after a restore read the configuration and the evacuated zones a second time.

Change: what a listing itself shows counts as known. No other decision changes.

--- a/src/currantshore/internal/entry/subjects.py
+++ b/src/currantshore/internal/entry/subjects.py
@@ -53,7 +53,7 @@
 
 
 class _KnownRestores:
-    """The restores of the store that hosts knew at the last listing.
+    """The restores that the last listing showed, or that were known before it.
 
     A later one makes the watch after that listing outdated. One that was known
     before does not: the listing has the store's newest state, whatever a host
@@ -66,9 +66,12 @@
         self._replica = replica
         self._at_listing = 0
 
-    def record_listing(self) -> None:
+    def begin_listing(self) -> None:
         self._at_listing = self._replica.newest_restores()
 
+    def end_listing(self, revision: int) -> None:
+        self._at_listing = max(self._at_listing, restores_of(revision))
+
     def are_newer_known(self) -> bool:
         return self._at_listing < self._replica.newest_restores()
 
@@ -104,12 +107,13 @@
                 self._revision, _WATCH_WAIT_S, _WATCH_WAIT_S + _WATCH_MARGIN_S
             )
         else:
-            self._restores.record_listing()
+            self._restores.begin_listing()
             known_version = self._replica.mirror.newest_version
             update = await self._store.read_configuration(_READ_TIMEOUT_S)
             # The read returns the store's newest version. A newer one that
             # other hosts knew before was lost.
             self._version = max(self._version, known_version)
+            self._restores.end_listing(update.revision)
         self._revision = max(self._revision, update.revision)
         if update.table is None:
             # No new configuration, or an unreadable one: the configuration in
@@ -172,11 +176,12 @@
         return 0 < self._revision and self._restores.are_newer_known()
 
     async def _list_all(self) -> None:
-        self._restores.record_listing()
+        self._restores.begin_listing()
         pages = await _read_pages(self._store.list_backends)
         # Later pages may be newer, so the watch starts at the first page's
         # revision.
         self._revision = pages[0].revision
+        self._restores.end_listing(self._revision)
         entries = [entry for page in pages for entry in page.entries]
         faults = [fault for page in pages for fault in page.faults]
         self._replica.apply_listing(entries, faults, self._revision)
@@ -240,10 +245,11 @@
         return update.faults
 
     async def _list_all(self) -> Iterable[str]:
-        self._restores.record_listing()
+        self._restores.begin_listing()
         pages = await _read_pages(self._store.list_evacuated_zones)
         # The watch starts at the revision of the first page, as for servers.
         self._revision = pages[0].revision
+        self._restores.end_listing(self._revision)
         self._zones = frozenset().union(*(page.zones for page in pages))
         return [fault for page in pages for fault in page.faults]
 
--- a/tests/contract/test_restored_store.py
+++ b/tests/contract/test_restored_store.py
@@ -95,6 +95,9 @@
     def run_scenario(self, scenario):
         asyncio.run(self.play(scenario))
 
+    async def prepare(self):
+        """Change the store before the hosts start."""
+
     async def play(self, scenario):
         self.store = ObjectStore()
         await self.store.put('config', 'main', configuration_spec(1))
@@ -102,6 +105,7 @@
             await self.store.put(
                 'servers', f'i-{number}', server_spec(port=80 + number)
             )
+        await self.prepare()
         server = StoreServer(self.store)
         await server.start()
         self.reader = Host(_READER, (_OTHER,))
@@ -354,3 +358,17 @@
             self.assertTrue(self.follower.is_served())
 
         self.run_scenario(scenario)
+
+
+class StartAfterRestoreTests(RestoredStoreTestCase):
+    """Guards against calls that a host repeats when it starts."""
+
+    async def prepare(self):
+        await self.store.restore(self.store.copy())
+
+    def test_a_start_after_a_restore_lists_each_kind_once(self):
+        async def scenario():
+            self.assertNotIn('history_lost', self.reader.log.events)
+            self.assertEqual(1, self.reader.log.events.count('store_restored'))
+
+        self.run_scenario(scenario)
